--- /dev/null
+++ b/include/bamboorack/upstream/messages.h
@@ -0,0 +1,152 @@
+#ifndef BAMBOORACK_UPSTREAM_MESSAGES_H_
+#define BAMBOORACK_UPSTREAM_MESSAGES_H_
+
+#include <chrono>
+#include <cstdint>
+#include <tl/expected.hpp>
+#include <variant>
+#include <vector>
+
+#include "bamboorack/core/ids.h"
+#include "bamboorack/core/record.h"
+#include "bamboorack/core/request.h"
+#include "bamboorack/core/time.h"
+
+namespace bamboorack::upstream {
+
+/// Asks an upstream for its instance, clock, highest token and drain state.
+struct ClockCall {};
+
+/// Makes an upstream refuse all tokens below `token` and report what it holds.
+struct FenceCall {
+  GroupId group;
+  UpstreamInstance instance;
+  FencingToken token;
+};
+
+/// Grants the whole set `shards` until `echoed_reading + lease` on the
+/// upstream's clock.
+struct GrantCall {
+  GroupId group;
+  UpstreamInstance instance;
+  FencingToken token;
+  UpstreamReading echoed_reading;
+  std::chrono::milliseconds lease{0};
+  /// Refuse if the current lease of the group has already expired.
+  bool only_if_unexpired = false;
+  std::vector<ShardId> shards;
+};
+
+/// Takes `shards` back. The upstream answers once no work on them runs.
+struct RevokeCall {
+  GroupId group;
+  UpstreamInstance instance;
+  FencingToken token;
+  std::vector<ShardId> shards;
+};
+
+/// Asks what became of a request and, if it did not run, that it never will.
+struct SettleCall {
+  RequestId request;
+};
+
+using ControlRequest =
+    std::variant<ClockCall, FenceCall, GrantCall, RevokeCall, SettleCall>;
+
+/// One call on an upstream's control interface.
+struct ControlCall {
+  ControlCallId id;
+  UpstreamId upstream;
+  Endpoint endpoint;
+  MonotonicTime deadline;
+  ControlRequest request;
+};
+
+/// The upstream's answer to `ClockCall`.
+struct ClockAnswer {
+  UpstreamInstance instance;
+  UpstreamReading reading;
+  FencingToken token;
+  bool is_draining = false;
+};
+
+/// The upstream accepted a fence. `shards` are those of its last grant for the
+/// group, whether or not the lease has expired.
+struct FenceAnswer {
+  UpstreamReading reading;
+  bool lease_expired = true;
+  bool is_draining = false;
+  std::vector<ShardId> shards;
+};
+
+/// The upstream carried out a grant; `reading` is its clock at that time.
+struct GrantAnswer {
+  UpstreamReading reading;
+  bool is_draining = false;
+};
+
+struct RevokeAnswer {};
+
+/// What an upstream says of a request id.
+enum class SettleState : std::uint8_t { kDone, kRunning, kNotRun };
+
+struct SettleAnswer {
+  SettleState state = SettleState::kRunning;
+};
+
+/// Why a control call failed.
+enum class ControlError : std::uint8_t {
+  /// No answer before the deadline, or the connection failed.
+  kUnreachable,
+  /// The upstream has seen a higher token.
+  kStaleToken,
+  /// Another instance answers at this address.
+  kOtherInstance,
+  /// `only_if_unexpired` was set and the lease had expired.
+  kLeaseExpired,
+  /// The answer breaks the protocol.
+  kBadAnswer,
+};
+
+using ControlAnswer = std::variant<ClockAnswer, FenceAnswer, GrantAnswer,
+                                   RevokeAnswer, SettleAnswer>;
+
+/// The outcome of a `ControlCall` with the same id.
+struct ControlResult {
+  ControlCallId id;
+  UpstreamId upstream;
+  tl::expected<ControlAnswer, ControlError> answer;
+};
+
+/// Sends one request to an upstream.
+struct Dispatch {
+  DispatchId id;
+  UpstreamRef upstream;
+  Endpoint endpoint;
+  FencingToken token;
+  ShardId shard;
+  /// The request's deadline on the upstream's own clock.
+  UpstreamReading upstream_deadline;
+  /// Nothing is written after this time; the result is then "not run".
+  MonotonicTime send_before;
+  Request request;
+};
+
+/// Ends the wait for a dispatch and tells the upstream to stop.
+struct CancelDispatch {
+  DispatchId id;
+};
+
+/// From the routing thread to the upstream thread.
+using ToUpstream = std::variant<Dispatch, CancelDispatch, ControlCall>;
+
+/// The end of a dispatch. The ending is `kNotRun` only if nothing was written
+/// to the connection or the upstream said that it did not run the request.
+struct DispatchResult {
+  DispatchId id;
+  Result result;
+};
+
+}  // namespace bamboorack::upstream
+
+#endif  // BAMBOORACK_UPSTREAM_MESSAGES_H_
--- /dev/null
+++ b/unittests/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
