--- a/include/bamboorack/upstream/messages.h
+++ b/include/bamboorack/upstream/messages.h
@@ -147,6 +147,11 @@
   Result result;
 };
 
+/// From the upstream thread to the routing thread: the ends of dispatches and
+/// of settle calls. The results of all other control calls go to the control
+/// thread.
+using UpstreamToRouting = std::variant<DispatchResult, ControlResult>;
+
 }  // namespace bamboorack::upstream
 
 #endif  // BAMBOORACK_UPSTREAM_MESSAGES_H_
