--- a/include/bamboorack/core/config.h
+++ b/include/bamboorack/core/config.h
@@ -31,6 +31,8 @@
   std::uint32_t slots = 1;
   /// Relative share of shards. 1.0 is the default.
   double weight = 1.0;
+
+  bool operator==(const UpstreamEntry&) const = default;
 };
 
 /// One service of the inventory.
@@ -44,6 +46,8 @@
   std::uint32_t shard_count = 64;
   std::uint32_t groups_per_domain = 1;
   std::vector<UpstreamEntry> upstreams;
+
+  bool operator==(const ServiceEntry&) const = default;
 };
 
 /// One daemon of the inventory.
@@ -53,12 +57,16 @@
   FailureDomain failure_domain;
   /// Where other daemons connect.
   Endpoint peer_endpoint;
+
+  bool operator==(const DaemonEntry&) const = default;
 };
 
 /// What the operators' asset register says.
 struct Inventory {
   std::vector<DaemonEntry> daemons;
   std::vector<ServiceEntry> services;
+
+  bool operator==(const Inventory&) const = default;
 };
 
 /// A key with a shard of its own.
@@ -66,6 +74,8 @@
   std::uint64_t key_hash = 0;
   /// At least the service's `shard_count`; unique within the service.
   ShardId shard;
+
+  bool operator==(const HotKey&) const = default;
 };
 
 /// The rules for one service.
@@ -89,6 +99,8 @@
   /// Upper bound of voluntary moves in one group.
   double moves_per_second = 2.0;
   std::vector<HotKey> hot_keys;
+
+  bool operator==(const ServiceRules&) const = default;
 };
 
 /// What the operators publish besides the inventory.
@@ -96,6 +108,8 @@
   /// Upstreams and daemons that an operator takes out of service.
   std::vector<UpstreamId> drained_upstreams;
   std::map<ServiceName, ServiceRules> services;
+
+  bool operator==(const Rules&) const = default;
 };
 
 }  // namespace bamboorack
