--- a/include/bamboorack/core/bounded_ring.h
+++ b/include/bamboorack/core/bounded_ring.h
@@ -25,13 +25,14 @@
     CHECK_GT(capacity, 0U) << "a ring needs at least one slot";
   }
 
+  ~BoundedRing() = default;
   BoundedRing(const BoundedRing&) = delete;
   BoundedRing& operator=(const BoundedRing&) = delete;
 
   /// Sets a function that is called after each push, so that a consumer that
   /// waits in poll instead of `PopUntil` wakes up. Call before the first push.
-  void SetWaker(std::function<void()> function) {
-    this->waker = std::move(function);
+  void SetWaker(const std::function<void()>& function) {
+    this->waker = function;
   }
 
   /// Adds `item`. Returns false, and leaves `item` as it was, if the ring is
