peer: mend two lint findings, NFC

Cause: an unused constant and a move the linter cannot see through. Change: the constant is gone; the refused push is explained. Result: lint is clean.

--- a/lib/peer/peer_thread.cc
+++ b/lib/peer/peer_thread.cc
@@ -18,8 +18,6 @@
 
 constexpr milliseconds kLongestWait{100};
 constexpr int kBacklog = 128;
-// Frames handled from one connection before the others get their turn.
-constexpr int kMessagesPerEvent = 256;
 
 Poco::Net::SocketAddress AddressOf(const Endpoint& endpoint) {
   return {endpoint.host, endpoint.port};
@@ -177,6 +175,8 @@
   while (!this->undelivered.empty()) {
     PeerToRouting message(std::move(this->undelivered.front()));
     if (!this->to_routing.TryPush(std::move(message))) {
+      // A refused push leaves the item as it was.
+      // NOLINTNEXTLINE(bugprone-use-after-move)
       this->undelivered.front() = std::get<ForwardAnswered>(std::move(message));
       return;
     }
