--- a/include/bamboorack/upstream/group_authority.h
+++ b/include/bamboorack/upstream/group_authority.h
@@ -1,8 +1,12 @@
 #ifndef BAMBOORACK_UPSTREAM_GROUP_AUTHORITY_H_
 #define BAMBOORACK_UPSTREAM_GROUP_AUTHORITY_H_
 
-#include <cstdint>
+#include <array>
+#include <chrono>
 #include <functional>
+#include <map>
+#include <optional>
+#include <set>
 #include <vector>
 
 #include "bamboorack/core/cluster_state.h"
@@ -12,9 +16,18 @@
 #include "bamboorack/core/routing_table.h"
 #include "bamboorack/core/time.h"
 #include "bamboorack/upstream/messages.h"
+#include "bamboorack/upstream/owner_plan.h"
+#include "bamboorack/upstream/ownership_rules.h"
+#include "bamboorack/upstream/upstream_link.h"
 
 namespace bamboorack::upstream {
 
+/// How often a grant is renewed. The default lease of 1 s gives 250 ms.
+inline constexpr std::chrono::milliseconds kRenewInterval{250};
+
+/// Returns `kRenewInterval`, or less if the lease is short.
+std::chrono::milliseconds RenewInterval(const ServiceRules& rules);
+
 /// What the control thread knows when it asks for a decision.
 struct AuthorityInput {
   const ClusterState& state;
@@ -23,6 +36,9 @@
   /// Whether the log answered lately. Without it nothing can be appended.
   bool has_log_contact = false;
   const MembershipView& membership;
+  /// When this daemon first read each owner. An owner that is missing counts
+  /// as known since this daemon took the authority. May be null.
+  const std::map<UpstreamRef, MonotonicTime>* known_since = nullptr;
 };
 
 /// What the control thread has to do.
@@ -31,17 +47,20 @@
   std::vector<Record> appends;
 };
 
+struct FencingStrategy;
+
 /// Decides for one group whose authority this daemon holds: fences, grants,
 /// renewals, revocations and moves. It reads no clock and does no I/O.
 class GroupAuthority {
  public:
   /// `token` is the offset of the accepted `authority_taken` record, read back
-  /// at `taken_at`; `predecessor` tells whether the group had an authority
+  /// at `taken_at`; `has_predecessor` tells whether the group had an authority
   /// before. Ids of control calls start at `first_call_id`.
   GroupAuthority(GroupId group, DaemonId self, FencingToken token,
                  bool has_predecessor, MonotonicTime taken_at,
                  ControlCallId first_call_id,
-                 std::function<RecordId()> next_record_id);
+                 std::function<RecordId()> next_record_id,
+                 const OwnershipRules& ownership_rules = kOwnershipRules);
 
   /// Call every 50 ms or sooner, and after each change of the input.
   AuthorityOutput Tick(const AuthorityInput& input, MonotonicTime now);
@@ -51,8 +70,176 @@
                                   const ControlResult& result,
                                   MonotonicTime now);
 
-  /// Adds the group, its upstreams and its granted shards to `table`.
+  /// Adds the group, its upstreams and its granted shards to `table`, as of
+  /// the last `Tick` or `OnControlResult`. A superseded authority adds
+  /// nothing.
   void FillTable(const AuthorityInput& input, RoutingTable& table) const;
+
+  /// Whether another authority has taken the group. It never ends.
+  bool IsSuperseded() const { return this->is_superseded; }
+  /// The id that the next control call gets.
+  ControlCallId NextCallId() const { return this->next_call_id; }
+
+ private:
+  friend struct FencingStrategy;
+
+  /// A shard on its way to another owner.
+  struct Move {
+    std::optional<UpstreamRef> from;
+    UpstreamRef to;
+    Cause cause = Cause::kRebalance;
+    /// The shard's last change when the move began.
+    LogOffset base;
+    /// Since when `from` gets no new work.
+    MonotonicTime started_at;
+    /// The shard is adopted because `to` reported it.
+    bool is_reported = false;
+    /// Set once the move was appended. If the state does not show a change by
+    /// then, it is appended again in a new record; the shard's base lets the
+    /// fold accept one of them only. An appended move is never cancelled,
+    /// because its record may take effect at any later time.
+    std::optional<MonotonicTime> append_again_at;
+  };
+
+  /// What an upstream may be granted.
+  struct GrantSet {
+    std::vector<ShardId> shards;
+    bool only_if_unexpired = false;
+  };
+
+  using Shards = std::map<ShardId, ShardState>;
+  /// Everything that one decision needs, gathered once.
+  struct View {
+    const AuthorityInput& input;
+    const ServiceEntry* service;
+    const ServiceRules& rules;
+    const FencingStrategy& strategy;
+    Shards shards;
+    MonotonicTime now;
+  };
+  struct ProofCheck {
+    Proof proof;
+    bool (GroupAuthority::*holds)(const View&, ShardId, const Move&) const;
+  };
+  static const std::array<ProofCheck, 4> kProofChecks;
+
+  View MakeView(const AuthorityInput& input, MonotonicTime now) const;
+  AuthorityOutput Decide(const AuthorityInput& input, MonotonicTime now);
+  bool NoteSuccessor(const AuthorityInput& input);
+
+  // Upstreams (group_authority.cc).
+  void SyncLinks(const View& view);
+  Holder& HolderOf(const View& view, const UpstreamRef& ref);
+  void ForgetTimedOutCalls(const View& view);
+  void NoteError(const View& view, UpstreamLink& link, ControlError error);
+  void NoteInstance(const View& view, UpstreamLink& link,
+                    const UpstreamInstance& instance);
+  Holder& NoteReading(const View& view, UpstreamLink& link,
+                      UpstreamReading reading, bool is_draining);
+  void SendCall(const View& view, UpstreamLink& link, ControlRequest request,
+                AuthorityOutput& output);
+  void CallUpstream(const View& view, UpstreamLink& link,
+                    AuthorityOutput& output);
+
+  // Answers (control_results.cc).
+  void OnClock(const View& view, UpstreamLink& link, const PendingCall& call,
+               const ControlAnswer& answer);
+  void OnFence(const View& view, UpstreamLink& link, const PendingCall& call,
+               const ControlAnswer& answer);
+  void OnGrant(const View& view, UpstreamLink& link, const PendingCall& call,
+               const ControlAnswer& answer);
+  void OnRevoke(const View& view, UpstreamLink& link, const PendingCall& call,
+                const ControlAnswer& answer);
+  void OnSettle(const View& view, UpstreamLink& link, const PendingCall& call,
+                const ControlAnswer& answer);
+
+  // Grants (lease.cc).
+  bool IsLive(const View& view, const UpstreamLink& link) const;
+  bool IsUndecided(const View& view, const UpstreamLink& link) const;
+  bool IsFenced(const UpstreamLink& link) const;
+  MonotonicTime MandateEnd(const View& view) const;
+  bool IsPredecessorOver(const View& view) const;
+  GrantSet GrantableShards(const View& view, const UpstreamLink& link) const;
+  std::optional<ControlRequest> NextTokenCall(const View& view,
+                                              UpstreamLink& link);
+  std::optional<ControlRequest> NextPermitCall(const View& view,
+                                               UpstreamLink& link);
+  GrantCall MakeGrant(const View& view, UpstreamLink& link, GrantSet set);
+  void NoteGrantSent(const View& view, const UpstreamLink& link,
+                     const ControlCall& call);
+  void UpdateTokenGrants(const View& view, const UpstreamRef& ref,
+                         Holder& holder);
+  void UpdatePermitGrants(const View& view, const UpstreamRef& ref,
+                          Holder& holder);
+  void UpdateGrants(const View& view);
+  std::set<ShardId> OwnedShards(const View& view, const UpstreamRef& ref) const;
+  bool IsReachable(const UpstreamRef& ref) const;
+  void RevokeMoved(const View& view, UpstreamLink& link,
+                   AuthorityOutput& output);
+
+  // The successor rule (takeover.cc).
+  bool NeedsSuccessorRule(const View& view, ShardId shard,
+                          const ShardState& state) const;
+  bool HasMajority() const;
+  bool IsProvenGone(const View& view, const UpstreamId& id) const;
+  bool AreOthersCleared(const View& view, ShardId shard,
+                        const UpstreamRef& owner) const;
+  void SettleShards(const View& view);
+  std::optional<UpstreamRef> ReportedOwner(ShardId shard,
+                                           const UpstreamRef& owner) const;
+
+  // Proofs (proofs.cc).
+  bool IsAcknowledged(const View& view, ShardId shard, const Move& move) const;
+  bool IsLapsed(const View& view, ShardId shard, const Move& move) const;
+  bool IsVmGoneProven(const View& view, ShardId shard, const Move& move) const;
+  bool IsDeclared(const View& view, ShardId shard, const Move& move) const;
+  bool IsTokenLapsed(const View& view, ShardId shard, const Move& move) const;
+  bool IsPermitLapsed(const View& view, ShardId shard, const Move& move) const;
+  bool IsInstanceGone(const View& view, const UpstreamRef& ref) const;
+  std::optional<Proof> FindProof(const View& view, ShardId shard,
+                                 const Move& move) const;
+
+  // Moves (moves.cc).
+  void EndAcceptedMoves(const View& view);
+  std::vector<OwnerTarget> Targets(const View& view) const;
+  void PlanMoves(const View& view, AuthorityOutput& output);
+  void ConsiderShard(const View& view, ShardId shard, const ShardState& state,
+                     const UpstreamRef& wanted, bool can_rebalance);
+  void ConsiderUnsettled(const View& view, ShardId shard,
+                         const ShardState& state);
+  void ConsiderOwner(const View& view, ShardId shard, Move move,
+                     bool can_rebalance);
+  bool CanRebalance(const View& view,
+                    const std::vector<OwnerTarget>& targets) const;
+  bool TakeMoveBudget(const View& view);
+  void RetargetMoves(const std::vector<OwnerTarget>& targets,
+                     const std::map<ShardId, UpstreamRef>& plan);
+  void AppendProvenMoves(const View& view,
+                         const std::vector<OwnerTarget>& targets,
+                         AuthorityOutput& output);
+
+  GroupId group;
+  DaemonId self;
+  FencingToken token;
+  bool has_predecessor;
+  MonotonicTime taken_at;
+  ControlCallId next_call_id;
+  std::function<RecordId()> next_record_id;
+  const OwnershipRules& ownership_rules;
+
+  bool is_superseded = false;
+  std::map<UpstreamId, UpstreamLink> links;
+  std::map<UpstreamRef, Holder> holders;
+  std::map<ShardId, Move> moves;
+  /// Shards whose owner was established under this token.
+  std::set<ShardId> settled;
+  /// The longest lease and mandate that the rules named in this authority's
+  /// time, since a predecessor or an earlier grant may have used them.
+  std::chrono::milliseconds longest_lease{0};
+  std::chrono::milliseconds longest_mandate{0};
+  /// Voluntary moves that may begin now, and when it was computed.
+  double move_budget = 1.0;
+  MonotonicTime budget_updated_at;
 };
 
 }  // namespace bamboorack::upstream
--- /dev/null
+++ b/include/bamboorack/upstream/upstream_link.h
@@ -0,0 +1,86 @@
+#ifndef BAMBOORACK_UPSTREAM_UPSTREAM_LINK_H_
+#define BAMBOORACK_UPSTREAM_UPSTREAM_LINK_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "bamboorack/core/ids.h"
+#include "bamboorack/core/time.h"
+#include "bamboorack/upstream/messages.h"
+
+namespace bamboorack::upstream {
+
+/// A grant that was sent and that the upstream may still carry out.
+struct OpenGrant {
+  ControlCallId id;
+  /// The grant has no effect after this time, even if it arrives later.
+  MonotonicTime ends_at;
+  std::vector<ShardId> shards;
+};
+
+/// What an authority knows of one upstream instance that may hold shards.
+struct Holder {
+  /// The VM that the inventory named when the instance became known.
+  VmId vm;
+  /// When this daemon first knew the instance.
+  MonotonicTime known_since;
+  std::optional<MonotonicTime> last_answer;
+  /// The instance acknowledged this authority's token.
+  bool is_fenced = false;
+  /// All leases that this authority may have given, or that the instance
+  /// reported when it was fenced, are over after this time.
+  MonotonicTime lease_end = MonotonicTime::min();
+  /// Shards of the last confirmed grant.
+  std::set<ShardId> granted;
+  /// Shards whose revocation the instance confirmed and that no grant held
+  /// since.
+  std::set<ShardId> revoked;
+  /// Shards that the fence answer reported under an unexpired lease.
+  std::set<ShardId> reported;
+  std::vector<OpenGrant> open_grants;
+};
+
+/// A control call whose result has not arrived.
+struct PendingCall {
+  ControlCall call;
+  MonotonicTime sent_at;
+};
+
+/// The connection state of one upstream of the inventory.
+struct UpstreamLink {
+  UpstreamId id;
+  VmId vm;
+  Endpoint endpoint;
+  std::uint32_t slots = 1;
+  double weight = 1.0;
+  /// False once the upstream left the inventory or moved to another group.
+  bool is_listed = true;
+  /// The instance that answered last.
+  std::optional<UpstreamInstance> instance;
+  UpstreamReading reading;
+  MonotonicTime reading_received;
+  bool is_draining = false;
+  /// An operator drains the upstream, its VM is about to leave, or the
+  /// inventory no longer lists it.
+  bool is_leaving = false;
+  /// Calls without a valid answer since the last one.
+  int failures = 0;
+  /// The last `only_if_unexpired` grant was refused.
+  bool lease_was_expired = false;
+  MonotonicTime next_call_at;
+  /// The set of the last grant sent to `instance`; unset if there was none.
+  std::optional<std::vector<ShardId>> sent_shards;
+  std::optional<PendingCall> pending;
+  /// A revocation runs beside the renewals, because it may wait for requests.
+  std::optional<PendingCall> pending_revoke;
+
+  UpstreamRef Ref() const {
+    return {this->id, this->instance.value_or(UpstreamInstance())};
+  }
+};
+
+}  // namespace bamboorack::upstream
+
+#endif  // BAMBOORACK_UPSTREAM_UPSTREAM_LINK_H_
--- /dev/null
+++ b/lib/upstream/control_results.cc
@@ -0,0 +1,147 @@
+#include <algorithm>
+#include <array>
+
+#include "bamboorack/upstream/group_authority.h"
+
+namespace bamboorack::upstream {
+
+AuthorityOutput GroupAuthority::OnControlResult(const AuthorityInput& input,
+                                                const ControlResult& result,
+                                                MonotonicTime now) {
+  // One handler for each alternative of `ControlAnswer`, in its order.
+  using Handler = void (GroupAuthority::*)(
+      const View&, UpstreamLink&, const PendingCall&, const ControlAnswer&);
+  static constexpr std::array<Handler, std::variant_size_v<ControlAnswer>>
+      kHandlers = {&GroupAuthority::OnClock, &GroupAuthority::OnFence,
+                   &GroupAuthority::OnGrant, &GroupAuthority::OnRevoke,
+                   &GroupAuthority::OnSettle};
+  // `ControlRequest` has its alternatives in the same order, so an answer of
+  // another kind than its call has another index.
+  static_assert(std::variant_size_v<ControlRequest> ==
+                std::variant_size_v<ControlAnswer>);
+  if (this->NoteSuccessor(input)) return {};
+  const auto found = this->links.find(result.upstream);
+  if (found == this->links.end() ||
+      input.state.FindService(this->group.service) == nullptr) {
+    return {};
+  }
+  UpstreamLink& link = found->second;
+  const View view = this->MakeView(input, now);
+  for (auto* pending : {&link.pending, &link.pending_revoke}) {
+    if (!*pending || (*pending)->call.id != result.id) continue;
+    const PendingCall call = std::move(**pending);
+    pending->reset();
+    if (!result.answer) {
+      this->NoteError(view, link, result.answer.error());
+      break;
+    }
+    if (result.answer->index() != call.call.request.index()) {
+      this->NoteError(view, link, ControlError::kBadAnswer);
+      break;
+    }
+    (this->*kHandlers.at(result.answer->index()))(view, link, call,
+                                                  *result.answer);
+  }
+  return this->Decide(input, now);
+}
+
+void GroupAuthority::NoteError(const View& view, UpstreamLink& link,
+                               ControlError error) {
+  if (error == ControlError::kLeaseExpired) {
+    link.lease_was_expired = true;
+    link.failures = 0;
+    if (link.instance) this->HolderOf(view, link.Ref()).last_answer = view.now;
+    return;
+  }
+  ++link.failures;
+  link.sent_shards.reset();
+  if (error == ControlError::kOtherInstance) link.instance.reset();
+}
+
+void GroupAuthority::NoteInstance(const View& view, UpstreamLink& link,
+                                  const UpstreamInstance& instance) {
+  if (link.instance == instance) return;
+  link.instance = instance;
+  link.lease_was_expired = false;
+  link.sent_shards.reset();
+  this->HolderOf(view, link.Ref());
+}
+
+Holder& GroupAuthority::NoteReading(const View& view, UpstreamLink& link,
+                                    UpstreamReading reading, bool is_draining) {
+  link.reading = reading;
+  link.reading_received = view.now;
+  link.is_draining = is_draining;
+  link.failures = 0;
+  Holder& holder = this->HolderOf(view, link.Ref());
+  holder.last_answer = view.now;
+  return holder;
+}
+
+void GroupAuthority::OnClock(const View& view, UpstreamLink& link,
+                             const PendingCall& /*call*/,
+                             const ControlAnswer& answer) {
+  const auto& clock = std::get<ClockAnswer>(answer);
+  this->NoteInstance(view, link, clock.instance);
+  this->NoteReading(view, link, clock.reading, clock.is_draining);
+}
+
+void GroupAuthority::OnFence(const View& view, UpstreamLink& link,
+                             const PendingCall& call,
+                             const ControlAnswer& answer) {
+  const auto& fence = std::get<FenceAnswer>(answer);
+  if (link.instance != std::get<FenceCall>(call.call.request).instance) return;
+  Holder& holder =
+      this->NoteReading(view, link, fence.reading, fence.is_draining);
+  holder.is_fenced = true;
+  // A set whose lease has expired is no evidence of ownership: an upstream
+  // that was frozen keeps the set that it had before its shards moved.
+  if (fence.lease_expired) return;
+  holder.reported = {fence.shards.begin(), fence.shards.end()};
+  holder.lease_end =
+      std::max(holder.lease_end,
+               this->ownership_rules.lease_end(view.now, this->longest_lease));
+}
+
+void GroupAuthority::OnGrant(const View& view, UpstreamLink& link,
+                             const PendingCall& call,
+                             const ControlAnswer& answer) {
+  const auto& request = std::get<GrantCall>(call.call.request);
+  if (link.instance != request.instance) return;
+  const auto& grant = std::get<GrantAnswer>(answer);
+  Holder& holder =
+      this->NoteReading(view, link, grant.reading, grant.is_draining);
+  std::erase_if(holder.open_grants, [&call](const OpenGrant& open) {
+    return open.id == call.call.id;
+  });
+  holder.is_fenced = true;
+  holder.granted = {request.shards.begin(), request.shards.end()};
+  // The upstream held these shards under a lease that the predecessor could
+  // not have let expire, or they were settled before.
+  this->settled.insert(request.shards.begin(), request.shards.end());
+}
+
+void GroupAuthority::OnRevoke(const View& /*view*/, UpstreamLink& link,
+                              const PendingCall& call,
+                              const ControlAnswer& /*answer*/) {
+  const auto& request = std::get<RevokeCall>(call.call.request);
+  const UpstreamRef ref{link.id, request.instance};
+  const auto holder = this->holders.find(ref);
+  if (holder == this->holders.end()) return;
+  for (const ShardId shard : request.shards) {
+    // A move that was cancelled, and perhaps begun anew, needs a revocation of
+    // its own, because the shard was granted again in between.
+    const auto move = this->moves.find(shard);
+    if (move == this->moves.end() || move->second.from != ref) continue;
+    if (move->second.started_at > call.sent_at) continue;
+    holder->second.revoked.insert(shard);
+  }
+}
+
+void GroupAuthority::OnSettle(const View& /*view*/, UpstreamLink& /*link*/,
+                              const PendingCall& /*call*/,
+                              const ControlAnswer& /*answer*/) {
+  // The routing thread sends settle calls and gets their results.
+}
+
+}  // namespace bamboorack::upstream
