daemon: add the interface of the router

Cause: the threads are wired while the decisions of the request path are written, and need a fixed interface.

--- /dev/null
+++ b/include/bamboorack/daemon/router_action.h
@@ -0,0 +1,25 @@
+#ifndef BAMBOORACK_DAEMON_ROUTER_ACTION_H_
+#define BAMBOORACK_DAEMON_ROUTER_ACTION_H_
+
+#include <variant>
+#include <vector>
+
+#include "bamboorack/caller/messages.h"
+#include "bamboorack/peer/messages.h"
+#include "bamboorack/upstream/messages.h"
+
+namespace bamboorack::daemon {
+
+/// What the routing thread has to hand to another thread. A `ControlCall`
+/// always holds a `SettleCall`.
+using RouterAction =
+    std::variant<caller::ToCaller, peer::SendForward, peer::SendCancel,
+                 peer::SendAnswer, upstream::Dispatch, upstream::CancelDispatch,
+                 upstream::ControlCall>;
+
+/// Actions in the order in which they have to be carried out.
+using RouterActions = std::vector<RouterAction>;
+
+}  // namespace bamboorack::daemon
+
+#endif  // BAMBOORACK_DAEMON_ROUTER_ACTION_H_
