daemon: add a first working router

Cause: the request path needs its decisions: which daemon, which upstream, in which order, how often, and how each request ends. Change: dispatch queue, concurrency limit, retry budget, once-only memory and service time estimators in upstream; Router with local dispatcher, settling and owner history in daemon. SettleCall names the instance, because a replacement at the same address does not know what its predecessor ran.

--- /dev/null
+++ b/include/bamboorack/daemon/router_core.h
@@ -0,0 +1,115 @@
+#ifndef BAMBOORACK_DAEMON_ROUTER_CORE_H_
+#define BAMBOORACK_DAEMON_ROUTER_CORE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+
+#include "bamboorack/daemon/local_dispatcher.h"
+#include "bamboorack/daemon/router.h"
+
+namespace bamboorack::daemon {
+
+/// Where a request came from, and so where its ending goes.
+using Origin = std::variant<caller::CallerSlot, peer::ReturnPath>;
+
+/// The private part of `Router`: follows each request from its origin to the
+/// local dispatcher or to another daemon, and back.
+class Router::Core {
+ public:
+  Core(DaemonId self_id, Metrics& metrics_sink, const RouterOptions& settings);
+
+  void On(caller::RequestArrived&& event, MonotonicTime now);
+  void On(caller::CallerGone&& event, MonotonicTime now);
+  void On(peer::ForwardArrived&& event, MonotonicTime now);
+  void On(peer::ForwardCancelled&& event, MonotonicTime now);
+  void On(peer::ForwardAnswered&& event, MonotonicTime now);
+  void On(upstream::DispatchResult&& event, MonotonicTime now);
+  void On(upstream::ControlResult&& event, MonotonicTime now);
+  void OnTable(std::shared_ptr<const RoutingTable> new_table,
+               MonotonicTime now);
+  void Tick(MonotonicTime now);
+  MonotonicTime NextWakeup() const;
+  void BeginStop() { this->is_stopping = true; }
+  bool IsIdle() const;
+
+  /// Returns the actions since the last call, after all endings that the local
+  /// dispatcher has reported are handled.
+  RouterActions TakeActions(MonotonicTime now);
+
+ private:
+  enum class Stage : std::uint8_t { kLocal, kForwarded, kParked };
+
+  /// One request that is not yet ended.
+  struct Held {
+    Origin origin;
+    std::shared_ptr<const Request> request;
+    MonotonicTime arrived;
+    Stage stage = Stage::kParked;
+    /// When it was parked first; it may be parked again, but not for longer.
+    std::optional<MonotonicTime> park_until;
+    /// The ending if parking leads to nothing.
+    Refusal refusal;
+    DaemonId forwarded_to;
+    ForwardId forward;
+    /// The group's token when it was forwarded.
+    FencingToken forwarded_under;
+    GroupId forwarded_group;
+    bool was_rerouted = false;
+    /// Waits for another authority than `forwarded_under`.
+    bool awaits_authority = false;
+  };
+
+  using StageHandler = void (Core::*)(WorkId, Held&, MonotonicTime);
+
+  void Take(Origin origin, Request&& request, MonotonicTime now);
+  void Abandon(const Origin& origin, MonotonicTime now);
+  void Resolve(WorkId id, Held& held, MonotonicTime now);
+  void Forward(WorkId id, Held& held, const Route& route);
+  void Refused(WorkId id, Held& held, const Refusal& refusal,
+               MonotonicTime now);
+  void Park(WorkId id, Held& held, MonotonicTime now);
+  void ResolveParked(MonotonicTime now);
+  bool CanReroute(const Held& held, const Refusal& refusal,
+                  MonotonicTime now) const;
+  bool HasOtherAuthority(const Held& held) const;
+  void Finish(WorkId id, Held& held, Result result, MonotonicTime now);
+  void Answer(const caller::CallerSlot& slot, const Held& held, Result&& result,
+              MonotonicTime now);
+  void Answer(const peer::ReturnPath& path, const Held& held, Result&& result,
+              MonotonicTime now);
+  void OnLocalEnding(LocalEnding&& ending, MonotonicTime now);
+  void AbandonLocal(WorkId id, Held& held, MonotonicTime now);
+  void AbandonForwarded(WorkId id, Held& held, MonotonicTime now);
+  void AbandonParked(WorkId id, Held& held, MonotonicTime now);
+  void OnTimer(WorkId id, MonotonicTime now);
+  void Remove(WorkId id, const Held& held);
+  void Arm(WorkId id, MonotonicTime at);
+  static bool IsOwnCaller(const Held& held);
+
+  DaemonId self;
+  Metrics& metrics;
+  RouterOptions options;
+  bool is_stopping = false;
+  std::shared_ptr<const RoutingTable> table;
+  LocalDispatcher local;
+  LocalOutput output;
+  std::unordered_map<WorkId, Held> held_requests;
+  std::map<Origin, WorkId> by_origin;
+  std::unordered_map<ForwardId, WorkId> by_forward;
+  std::set<WorkId> parked;
+  std::set<std::pair<MonotonicTime, WorkId>> timers;
+  /// The pending timer of a request; there is at most one.
+  std::unordered_map<WorkId, MonotonicTime> armed;
+  WorkId next_work{1};
+  ForwardId next_forward{1};
+};
+
+}  // namespace bamboorack::daemon
+
+#endif  // BAMBOORACK_DAEMON_ROUTER_CORE_H_
--- a/include/bamboorack/upstream/messages.h
+++ b/include/bamboorack/upstream/messages.h
@@ -48,6 +48,10 @@
 /// Asks what became of a request and, if it did not run, that it never will.
 struct SettleCall {
   RequestId request;
+  /// The instance that the request was or would be sent to. A replacement at
+  /// the same address does not know what its predecessor ran, so another
+  /// instance must answer `kOtherInstance`. Empty if any instance may answer.
+  UpstreamInstance instance{};
 };
 
 using ControlRequest =
--- /dev/null
+++ b/lib/daemon/local_dispatcher.cc
@@ -0,0 +1,366 @@
+#include "bamboorack/daemon/local_dispatcher.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "bamboorack/daemon/router_policy.h"
+
+namespace bamboorack::daemon {
+
+using upstream::QueuedWork;
+
+LocalDispatcher::LocalDispatcher(DaemonId self_id, Metrics& metrics_sink,
+                                 ControlCallId first_call_id,
+                                 std::size_t memory_bytes)
+    : self(std::move(self_id)),
+      metrics(metrics_sink),
+      once_only_bytes(memory_bytes),
+      next_call(first_call_id) {}
+
+void LocalDispatcher::Submit(WorkId id, std::shared_ptr<const Request> request,
+                             const Route& route, MonotonicTime now,
+                             LocalOutput& out) {
+  this->waiter_deadlines[id] = request->deadline;
+  this->job_of_waiter[id] = id;
+  this->Arm(id, request->deadline);
+  this->groups.at(route.group).budget.OnRequest();
+  Job job;
+  job.id = id;
+  job.shard = route.shard;
+  job.group = route.group;
+  job.upstream = *route.local_owner;
+  job.request = std::move(request);
+  if (PolicyOf(job.request->rank).is_once_only) {
+    this->SubmitOnceOnly(job, now, out);
+    return;
+  }
+  job.waiters = {id};
+  this->Enqueue(this->jobs.emplace(id, std::move(job)).first->second, now, out);
+}
+
+void LocalDispatcher::Enqueue(Job& job, MonotonicTime now, LocalOutput& out) {
+  Lane* lane = this->FindLane(job.upstream);
+  if (lane == nullptr) {
+    this->End(job, NotRun(Reason::kOwnerUnreachable, job.upstream.id.value),
+              now, out);
+    return;
+  }
+  job.stage = Stage::kQueued;
+  const auto pushed = lane->queue.Push(
+      QueuedWork{job.id, job.request->rank, job.request->deadline},
+      *lane->estimator, lane->limit.Current(), now);
+  if (!pushed) {
+    this->End(job, NotRun(pushed.error(), job.upstream.id.value), now, out);
+    return;
+  }
+  this->Pump(*lane, now, out);
+}
+
+void LocalDispatcher::Pump(Lane& lane, MonotonicTime now, LocalOutput& out) {
+  while (true) {
+    for (const auto& dropped : lane.queue.RemoveExpired(*lane.estimator, now)) {
+      Job* job = this->FindJob(dropped.id);
+      if (job != nullptr) this->End(*job, NotRun(dropped.reason), now, out);
+    }
+    if (!this->CanSend(lane, now)) return;
+    const auto work = lane.queue.Pop();
+    if (!work) return;
+    this->Send(lane, this->jobs.at(work->id), now, out);
+  }
+}
+
+bool LocalDispatcher::CanSend(const Lane& lane, MonotonicTime now) const {
+  if (!lane.info || !lane.info->accepts_work || now < lane.paused_until) {
+    return false;
+  }
+  if (lane.estimator->Active() >= lane.limit.Current()) return false;
+  const auto group = this->table->local_groups.find(lane.info->group);
+  return group != this->table->local_groups.end() &&
+         now < group->second.mandate_until;
+}
+
+void LocalDispatcher::Send(Lane& lane, Job& job, MonotonicTime now,
+                           LocalOutput& out) {
+  const LocalUpstream& info = *lane.info;
+  const LocalGroup& group = this->table->local_groups.at(info.group);
+  const MonotonicTime deadline = job.request->deadline;
+  job.stage = Stage::kInFlight;
+  job.sent = now;
+  ++job.attempts;
+  job.dispatch = this->next_dispatch;
+  ++this->next_dispatch.value;
+  this->dispatches.emplace(job.dispatch, job.id);
+  lane.estimator->OnStart(job.dispatch, now);
+  this->Arm(job.id, deadline + kResultGrace);
+  const auto remaining = std::chrono::floor<std::chrono::milliseconds>(
+      deadline - info.reading_received);
+  out.actions.emplace_back(upstream::Dispatch{
+      job.dispatch, info.ref, info.endpoint, info.token, job.shard,
+      info.reading + remaining, std::min(deadline, group.mandate_until),
+      *job.request});
+}
+
+void LocalDispatcher::OnDispatchResult(upstream::DispatchResult&& message,
+                                       MonotonicTime now, LocalOutput& out) {
+  const auto found = this->dispatches.find(message.id);
+  if (found == this->dispatches.end()) {
+    this->metrics.Count("dispatch_results_unexpected");
+    return;
+  }
+  Job& job = this->jobs.at(found->second);
+  this->dispatches.erase(found);
+  this->timers.erase({job.request->deadline + kResultGrace, job.id});
+  const UpstreamRef ref = job.upstream;
+  Lane& lane = this->lanes.at(ref);
+  const bool is_answered = message.result.has_value();
+  lane.estimator->OnEnd(message.id, job.request->rank, is_answered, now);
+  if (is_answered) {
+    lane.limit.OnAnswer(job.request->rank, job.sent, now);
+    this->End(job, std::move(message.result), now, out);
+  }
+  if (!is_answered) this->OnFailure(job, message.result.error(), now, out);
+  this->Pump(lane, now, out);
+}
+
+void LocalDispatcher::OnFailure(Job& job, const Refusal& refusal,
+                                MonotonicTime now, LocalOutput& out) {
+  Lane& lane = this->lanes.at(job.upstream);
+  const FailurePolicy policy = FailurePolicyOf(refusal.reason);
+  const bool is_unknown = refusal.ending == Ending::kUnknown;
+  if (policy.is_shed) lane.limit.OnShed(job.sent, now);
+  if (is_unknown && !job.is_cancelled) lane.limit.OnTimeout(job.sent, now);
+  if (policy.after == AfterFailure::kPauseAndRetry) {
+    lane.paused_until = now + kUpstreamPause;
+  }
+  if (policy.after == AfterFailure::kAwaitTableAndRetry) {
+    lane.paused_until = now + kTablePause;
+    lane.awaits_table = true;
+  }
+  const RankPolicy& rank = PolicyOf(job.request->rank);
+  if (is_unknown && rank.settles_unknown) {
+    this->SettleAfter(job, refusal, now, out);
+    return;
+  }
+  job.may_have_run |= is_unknown;
+  if (this->TryRetry(job, refusal, now, out)) return;
+  this->End(job, tl::make_unexpected(refusal), now, out);
+}
+
+bool LocalDispatcher::TryRetry(Job& job, const Refusal& refusal,
+                               MonotonicTime now, LocalOutput& out) {
+  if (FailurePolicyOf(refusal.reason).after == AfterFailure::kGiveUp ||
+      job.attempts >= kMaxAttempts || job.request->deadline <= now ||
+      !this->HasWaiters(job)) {
+    return false;
+  }
+  if (!this->groups.at(job.group).budget.TryTake()) {
+    this->End(
+        job,
+        tl::make_unexpected(Refusal{refusal.ending, Reason::kRetryBudgetEmpty,
+                                    std::string(InfoOf(refusal.reason).name)}),
+        now, out);
+    return true;
+  }
+  this->metrics.CountRetry(refusal.reason);
+  this->Resubmit(job, now, out);
+  return true;
+}
+
+void LocalDispatcher::Resubmit(Job& job, MonotonicTime now, LocalOutput& out) {
+  const auto route = FindRoute(*this->table, this->self, job.request->service,
+                               job.request->key);
+  if (!route) {
+    this->End(job, NotRun(route.error().reason, route.error().detail), now,
+              out);
+    return;
+  }
+  if (!route->local_owner) {
+    this->End(job, NotRun(Reason::kNoAuthority), now, out);
+    return;
+  }
+  const bool is_once_only = PolicyOf(job.request->rank).is_once_only;
+  if (is_once_only && route->group != job.group) {
+    // Another group has another memory, so the id has to be looked up again.
+    this->End(job, NotRun(Reason::kOwnerMoving), now, out);
+    return;
+  }
+  job.group = route->group;
+  job.shard = route->shard;
+  job.upstream = *route->local_owner;
+  if (is_once_only && job.checked_under != this->groups.at(job.group).token) {
+    this->SettleBefore(job, now, out);
+    return;
+  }
+  this->Enqueue(job, now, out);
+}
+
+void LocalDispatcher::End(Job& job, Result result, MonotonicTime now,
+                          LocalOutput& out) {
+  if (!result && job.may_have_run) result.error().ending = Ending::kUnknown;
+  const bool is_once_only = PolicyOf(job.request->rank).is_once_only;
+  const std::vector<WorkId> waiters =
+      is_once_only ? this->MemoryOf(job).End(job.request->id, result, now)
+                   : std::move(job.waiters);
+  this->jobs.erase(job.id);
+  this->EndWaiters(waiters, result, out);
+}
+
+void LocalDispatcher::EndWaiters(const std::vector<WorkId>& waiters,
+                                 const Result& result, LocalOutput& out) {
+  for (const WorkId id : waiters) this->EndWaiter(id, result, out);
+}
+
+void LocalDispatcher::EndWaiter(WorkId id, Result result, LocalOutput& out) {
+  const auto deadline = this->waiter_deadlines.find(id);
+  if (deadline == this->waiter_deadlines.end()) return;
+  this->timers.erase({deadline->second, id});
+  this->timers.erase({deadline->second + kAnswerGrace, id});
+  this->waiter_deadlines.erase(deadline);
+  this->job_of_waiter.erase(id);
+  out.endings.push_back({id, std::move(result)});
+}
+
+std::size_t LocalDispatcher::RemoveWaiter(Job& job, WorkId id) {
+  LocalOutput ignored;
+  this->EndWaiter(id, NotRun(Reason::kCancelled), ignored);
+  // The timers of the first waiter are those of the job as well.
+  if (id == job.id) this->Arm(job.id, job.request->deadline);
+  if (PolicyOf(job.request->rank).is_once_only) {
+    return this->MemoryOf(job).Leave(job.request->id, id);
+  }
+  std::erase(job.waiters, id);
+  return job.waiters.size();
+}
+
+bool LocalDispatcher::HasWaiters(const Job& job) const {
+  if (!PolicyOf(job.request->rank).is_once_only) return !job.waiters.empty();
+  return this->groups.at(job.group).memory.WaiterCount(job.request->id) > 0;
+}
+
+void LocalDispatcher::Abandon(WorkId id, MonotonicTime now, LocalOutput& out) {
+  const auto found = this->job_of_waiter.find(id);
+  if (found == this->job_of_waiter.end()) return;
+  Job& job = this->jobs.at(found->second);
+  if (this->RemoveWaiter(job, id) == 0) this->OnNobodyWaits(job, now, out);
+}
+
+void LocalDispatcher::OnNobodyWaits(Job& job, MonotonicTime now,
+                                    LocalOutput& out) {
+  if (job.stage == Stage::kQueued) {
+    Lane* lane = this->FindLane(job.upstream);
+    if (lane != nullptr) lane->queue.Remove(job.id);
+    this->End(job, NotRun(Reason::kCancelled), now, out);
+    return;
+  }
+  if (job.stage == Stage::kSettlingBefore) {
+    this->GiveUpSettling(job, now, out);
+    return;
+  }
+  if (job.stage == Stage::kInFlight) this->CancelInFlight(job, out);
+}
+
+void LocalDispatcher::CancelInFlight(Job& job, LocalOutput& out) {
+  if (job.is_cancelled || !PolicyOf(job.request->rank).cancels_in_flight) {
+    return;
+  }
+  job.is_cancelled = true;
+  out.actions.emplace_back(upstream::CancelDispatch{job.dispatch});
+}
+
+void LocalDispatcher::Arm(WorkId id, MonotonicTime at) {
+  this->timers.emplace(at, id);
+}
+
+void LocalDispatcher::Tick(MonotonicTime now, LocalOutput& out) {
+  while (!this->timers.empty() && this->timers.begin()->first <= now) {
+    const WorkId id = this->timers.begin()->second;
+    this->timers.erase(this->timers.begin());
+    this->OnTimer(id, now, out);
+  }
+  for (auto& [ref, lane] : this->lanes) {
+    if (lane.paused_until > now) continue;
+    lane.paused_until = MonotonicTime::min();
+    this->Pump(lane, now, out);
+  }
+  for (auto& [id, group] : this->groups) group.memory.Expire(now);
+}
+
+MonotonicTime LocalDispatcher::NextWakeup() const {
+  MonotonicTime next =
+      this->timers.empty() ? MonotonicTime::max() : this->timers.begin()->first;
+  for (const auto& [ref, lane] : this->lanes) {
+    if (lane.paused_until == MonotonicTime::min()) continue;
+    if (lane.queue.Size() > 0) next = std::min(next, lane.paused_until);
+  }
+  return next;
+}
+
+void LocalDispatcher::OnTimer(WorkId id, MonotonicTime now, LocalOutput& out) {
+  static constexpr std::array<JobHandler, 4> kJobTimers = {
+      &LocalDispatcher::OnSettlingTimer,
+      &LocalDispatcher::OnQueuedTimer,
+      &LocalDispatcher::OnInFlightTimer,
+      &LocalDispatcher::OnSettlingTimer,
+  };
+  Job* job = this->FindJob(id);
+  if (job != nullptr) {
+    (this->*kJobTimers.at(static_cast<std::size_t>(job->stage)))(*job, now,
+                                                                 out);
+  }
+  this->OnWaiterTimer(id, now, out);
+}
+
+void LocalDispatcher::OnWaiterTimer(WorkId id, MonotonicTime now,
+                                    LocalOutput& out) {
+  const auto found = this->job_of_waiter.find(id);
+  if (found == this->job_of_waiter.end()) return;
+  const MonotonicTime deadline = this->waiter_deadlines.at(id);
+  if (now < deadline) return;
+  Job& job = this->jobs.at(found->second);
+  if (job.stage != Stage::kQueued && now < deadline + kAnswerGrace) {
+    this->Arm(id, deadline + kAnswerGrace);
+    return;
+  }
+  const Reason reason =
+      id == job.id ? Reason::kDeadlinePassed : Reason::kIdInProgress;
+  const std::size_t remaining = this->RemoveWaiter(job, id);
+  out.endings.push_back({id, Unknown(reason)});
+  if (remaining > 0) return;
+  if (job.stage == Stage::kInFlight && !job.is_cancelled) {
+    this->lanes.at(job.upstream).limit.OnTimeout(job.sent, now);
+  }
+  this->OnNobodyWaits(job, now, out);
+}
+
+void LocalDispatcher::OnQueuedTimer(Job& job, MonotonicTime now,
+                                    LocalOutput& out) {
+  if (now < job.request->deadline) return;
+  Lane* lane = this->FindLane(job.upstream);
+  if (lane != nullptr) lane->queue.Remove(job.id);
+  this->End(job, NotRun(Reason::kDeadlinePassed), now, out);
+}
+
+void LocalDispatcher::OnInFlightTimer(Job& job, MonotonicTime now,
+                                      LocalOutput& out) {
+  if (now < job.request->deadline + kResultGrace) return;
+  this->metrics.Count("dispatch_results_missing");
+  this->OnDispatchResult({job.dispatch, Unknown(Reason::kUpstreamLost)}, now,
+                         out);
+}
+
+LocalDispatcher::Job* LocalDispatcher::FindJob(WorkId id) {
+  const auto found = this->jobs.find(id);
+  return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+LocalDispatcher::Lane* LocalDispatcher::FindLane(const UpstreamRef& ref) {
+  const auto found = this->lanes.find(ref);
+  return found == this->lanes.end() ? nullptr : &found->second;
+}
+
+upstream::OnceOnlyMemory& LocalDispatcher::MemoryOf(const Job& job) {
+  return this->groups.at(job.group).memory;
+}
+
+}  // namespace bamboorack::daemon
--- /dev/null
+++ b/lib/daemon/local_tables.cc
@@ -0,0 +1,113 @@
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include "bamboorack/daemon/local_dispatcher.h"
+#include "bamboorack/daemon/router_policy.h"
+
+namespace bamboorack::daemon {
+
+void LocalDispatcher::OnTable(std::shared_ptr<const RoutingTable> new_table,
+                              MonotonicTime now, LocalOutput& out) {
+  this->table = std::move(new_table);
+  this->owners.OnState(this->table->state, now);
+  this->UpdateGroups(now);
+  this->UpdateLanes();
+  this->RerouteQueued(now, out);
+  for (auto& [ref, lane] : this->lanes) this->Pump(lane, now, out);
+  this->DropIdleState(now);
+}
+
+void LocalDispatcher::UpdateGroups(MonotonicTime now) {
+  for (const auto& [id, local] : this->table->local_groups) {
+    const ServiceRules& rules = this->table->state->RulesOf(id.service);
+    const auto found =
+        this->groups
+            .try_emplace(id, Group{local.token,
+                                   upstream::OnceOnlyMemory(
+                                       local.taken_at, {rules.id_memory,
+                                                        this->once_only_bytes}),
+                                   upstream::RetryBudget(rules.retry_share)})
+            .first;
+    Group& group = found->second;
+    group.memory.SetKeepFor(rules.id_memory);
+    group.budget.SetShare(rules.retry_share);
+    if (group.token == local.token) continue;
+    group.token = local.token;
+    // The table may be older than `now`, but no id was sent by this daemon
+    // under the new token before it.
+    group.memory.OnTakeover(std::min(local.taken_at, now));
+  }
+}
+
+void LocalDispatcher::UpdateLanes() {
+  for (auto& [ref, lane] : this->lanes) {
+    if (!this->table->local_upstreams.contains(ref)) lane.info.reset();
+  }
+  for (const auto& [ref, info] : this->table->local_upstreams) {
+    const ServiceRules& rules = this->table->state->RulesOf(info.group.service);
+    auto found = this->lanes.find(ref);
+    if (found == this->lanes.end()) {
+      found =
+          this->lanes
+              .emplace(
+                  ref,
+                  Lane{info,
+                       upstream::DispatchQueue(rules.floors, rules.queue_limit),
+                       upstream::ConcurrencyLimit(info.slots),
+                       std::make_unique<upstream::SmoothedServiceTime>(),
+                       MonotonicTime::min(), false})
+              .first;
+    }
+    Lane& lane = found->second;
+    lane.info = info;
+    lane.limit.SetSlots(info.slots);
+    lane.queue.Configure(rules.floors, rules.queue_limit);
+    if (lane.awaits_table) lane.paused_until = MonotonicTime::min();
+    lane.awaits_table = false;
+  }
+}
+
+bool LocalDispatcher::StaysQueued(const upstream::QueuedWork& work) {
+  const Job& job = this->jobs.at(work.id);
+  const auto route = FindRoute(*this->table, this->self, job.request->service,
+                               job.request->key);
+  if (!route || route->local_owner != job.upstream) return false;
+  return !PolicyOf(job.request->rank).is_once_only ||
+         job.checked_under == this->groups.at(route->group).token;
+}
+
+void LocalDispatcher::RerouteQueued(MonotonicTime now, LocalOutput& out) {
+  std::vector<upstream::QueuedWork> moved;
+  for (auto& [ref, lane] : this->lanes) {
+    const auto removed =
+        lane.queue.RemoveIf([this](const upstream::QueuedWork& work) {
+          return !this->StaysQueued(work);
+        });
+    moved.insert(moved.end(), removed.begin(), removed.end());
+  }
+  for (const upstream::QueuedWork& work : moved) {
+    Job* job = this->FindJob(work.id);
+    if (job != nullptr) this->Resubmit(*job, now, out);
+  }
+}
+
+void LocalDispatcher::DropIdleState(MonotonicTime now) {
+  std::erase_if(this->lanes, [](const auto& item) {
+    const Lane& lane = item.second;
+    return !lane.info && lane.queue.Size() == 0 &&
+           lane.estimator->Active() == 0;
+  });
+  std::erase_if(this->groups, [this](const auto& item) {
+    return !this->table->local_groups.contains(item.first) &&
+           item.second.memory.Size() == 0;
+  });
+  std::chrono::milliseconds longest = ServiceRules().id_memory;
+  for (const auto& [service, rules] : this->table->state->rules.services) {
+    longest = std::max(longest, rules.id_memory);
+  }
+  this->owners.ForgetBefore(now - longest);
+}
+
+}  // namespace bamboorack::daemon
--- /dev/null
+++ b/lib/upstream/concurrency_limit.cc
@@ -0,0 +1,81 @@
+#include "bamboorack/upstream/concurrency_limit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bamboorack::upstream {
+namespace {
+
+constexpr double kShedFactor = 0.7;
+constexpr double kTimeoutFactor = 0.5;
+constexpr double kSlowFactor = 0.9;
+// Exponential response times smoothed with 0.1 vary by 23 %, so a mean of
+// twice the usual time is no accident.
+constexpr double kSlownessSmoothing = 0.1;
+constexpr double kSlownessBound = 2.0;
+// The usual time follows slowly, so that work that became slower for good does
+// not hold the limit down for ever.
+constexpr double kUsualSmoothing = 0.01;
+
+}  // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(std::uint32_t initial_slots)
+    : slots(std::max(initial_slots, 1U)), careful_from(this->slots) {}
+
+void ConcurrencyLimit::SetSlots(std::uint32_t new_slots) {
+  new_slots = std::max(new_slots, 1U);
+  if (new_slots == this->slots) return;
+  this->slots = new_slots;
+  this->careful_from = std::min<double>(this->careful_from, new_slots);
+  this->limit = std::min<double>(this->limit, new_slots);
+}
+
+std::uint32_t ConcurrencyLimit::Current() const {
+  return static_cast<std::uint32_t>(this->limit);
+}
+
+void ConcurrencyLimit::OnAnswer(Rank rank, MonotonicTime sent,
+                                MonotonicTime now) {
+  if (this->IsSlow(rank, now - sent)) {
+    this->Shrink(kSlowFactor, sent, now);
+    return;
+  }
+  this->Grow();
+}
+
+void ConcurrencyLimit::OnShed(MonotonicTime sent, MonotonicTime now) {
+  this->Shrink(kShedFactor, sent, now);
+}
+
+void ConcurrencyLimit::OnTimeout(MonotonicTime sent, MonotonicTime now) {
+  this->Shrink(kTimeoutFactor, sent, now);
+}
+
+void ConcurrencyLimit::Shrink(double factor, MonotonicTime sent,
+                              MonotonicTime now) {
+  // Requests that were in flight at the last fall say nothing about the new
+  // limit.
+  if (sent < this->last_shrink) return;
+  this->last_shrink = now;
+  this->limit = std::max(1.0, this->limit * factor);
+  this->careful_from = this->limit;
+}
+
+void ConcurrencyLimit::Grow() {
+  const double step =
+      this->limit < this->careful_from ? 1.0 : 1.0 / this->limit;
+  this->limit = std::min<double>(this->slots, this->limit + step);
+}
+
+bool ConcurrencyLimit::IsSlow(Rank rank, std::chrono::nanoseconds response) {
+  const double seconds =
+      std::max(1e-6, std::chrono::duration<double>(response).count());
+  double& usual = this->usual_seconds.at(IndexOf(rank));
+  if (usual == 0.0) usual = seconds;
+  this->smoothed_slowness +=
+      kSlownessSmoothing * (seconds / usual - this->smoothed_slowness);
+  usual += kUsualSmoothing * (seconds - usual);
+  return this->smoothed_slowness > kSlownessBound;
+}
+
+}  // namespace bamboorack::upstream
