--- /dev/null
+++ b/include/bamboorack/caller/caller_thread.h
@@ -0,0 +1,73 @@
+#ifndef BAMBOORACK_CALLER_CALLER_THREAD_H_
+#define BAMBOORACK_CALLER_CALLER_THREAD_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+
+#include "bamboorack/caller/messages.h"
+#include "bamboorack/caller/request_check.h"
+#include "bamboorack/core/bounded_ring.h"
+#include "bamboorack/core/ids.h"
+#include "bamboorack/core/metrics.h"
+#include "bamboorack/core/time.h"
+
+namespace bamboorack::caller {
+
+struct CallerThreadSettings {
+  /// Port 0 lets the system choose; see `CallerThread::Port`.
+  Endpoint listen;
+  RequestLimits limits;
+  /// A connection without a request, without progress of a body or without
+  /// progress of an answer is closed after this time.
+  std::chrono::milliseconds idle_timeout{60'000};
+  /// From the first byte of a head to its blank line.
+  std::chrono::milliseconds head_timeout{5'000};
+  /// Further connections are closed at once and counted.
+  std::size_t max_connections = 10'000;
+  /// Sum of the bodies of all requests that are being read or served, in
+  /// bytes. A request that does not fit is refused with `queue_full`.
+  std::size_t body_budget = std::size_t{1} << 30;
+};
+
+/// Serves all caller connections with one thread: reads and checks requests,
+/// hands them to the routing thread and writes the answers back.
+class CallerThread {
+ public:
+  /// The rings and `metrics` must outlive this object. `in` gets a waker, so
+  /// build this object before anything is pushed to it.
+  CallerThread(CallerThreadSettings settings, BoundedRing<FromCaller>& out,
+               BoundedRing<ToCaller>& in, Metrics& metrics);
+  /// Stops at once if `Stop` was not called.
+  ~CallerThread();
+  CallerThread(const CallerThread&) = delete;
+  CallerThread& operator=(const CallerThread&) = delete;
+
+  /// Binds the listener and starts the thread. The error names the endpoint
+  /// and the cause.
+  tl::expected<void, std::string> Start();
+
+  /// Returns the port that the listener is bound to, 0 before `Start`.
+  std::uint16_t Port() const;
+
+  /// Stops accepting connections and closes those that are idle. A request
+  /// whose first byte has arrived is still served; its connection is then
+  /// closed. Does not wait.
+  void BeginStop();
+
+  /// Waits until all requests in flight are answered, but not longer than
+  /// `deadline`, then closes everything and joins the thread. Requests that
+  /// are still open are answered `unknown` with `stopping`.
+  void Stop(MonotonicTime deadline);
+
+ private:
+  class Reactor;
+  std::unique_ptr<Reactor> reactor;
+};
+
+}  // namespace bamboorack::caller
+
+#endif  // BAMBOORACK_CALLER_CALLER_THREAD_H_
--- /dev/null
+++ b/include/bamboorack/caller/request_check.h
@@ -0,0 +1,49 @@
+#ifndef BAMBOORACK_CALLER_REQUEST_CHECK_H_
+#define BAMBOORACK_CALLER_REQUEST_CHECK_H_
+
+#include <cstddef>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "bamboorack/core/request.h"
+#include "bamboorack/core/time.h"
+
+namespace bamboorack::caller {
+
+/// Sizes above which a request is refused, in bytes.
+struct RequestLimits {
+  std::size_t head = 16 * 1024;
+  /// For the ranks lookup and once.
+  std::size_t body = 1024 * 1024;
+  std::size_t bulk_body = 64 * 1024 * 1024;
+  /// After percent-decoding.
+  std::size_t key = 512;
+  std::size_t request_id = 64;
+};
+
+/// The head of a request as it was received.
+struct RequestHead {
+  std::string method;
+  /// Path and query, as sent.
+  std::string target;
+  std::vector<Header> headers;
+};
+
+/// A request whose head is valid and whose body is still to be read.
+struct CheckedRequest {
+  /// The body is null. The id is empty if the caller sent none, which only
+  /// the rank once forbids.
+  Request request;
+  std::size_t body_length = 0;
+  bool expects_continue = false;
+};
+
+/// Checks the head of a request that was received at `now`.
+tl::expected<CheckedRequest, Refusal> CheckRequest(const RequestHead& head,
+                                                   const RequestLimits& limits,
+                                                   MonotonicTime now);
+
+}  // namespace bamboorack::caller
+
+#endif  // BAMBOORACK_CALLER_REQUEST_CHECK_H_
