--- /dev/null
+++ b/include/bamboorack/caller/caller_codec.h
@@ -0,0 +1,31 @@
+#ifndef BAMBOORACK_CALLER_CALLER_CODEC_H_
+#define BAMBOORACK_CALLER_CALLER_CODEC_H_
+
+#include <Poco/Net/HTTPRequest.h>
+
+#include "bamboorack/caller/request_check.h"
+#include "bamboorack/core/http_connection.h"
+#include "bamboorack/core/request.h"
+
+namespace bamboorack::caller {
+
+/// What the form of an answer depends on besides the result.
+struct AnswerForm {
+  /// An answer to HEAD has the headers of the body but no body.
+  bool is_head = false;
+  bool keep_alive = true;
+};
+
+/// Returns the parts of `request` that `CheckRequest` needs.
+RequestHead ToRequestHead(const Poco::Net::HTTPRequest& request);
+
+/// Encodes the answer to a caller. The outcome is `X-Bamboorack-Outcome`; a
+/// refusal has a JSON body `{"outcome","reason","detail"}`.
+HttpBytes EncodeAnswer(const Result& result, const AnswerForm& form);
+
+/// Returns the interim answer to `Expect: 100-continue`.
+HttpBytes EncodeContinue();
+
+}  // namespace bamboorack::caller
+
+#endif  // BAMBOORACK_CALLER_CALLER_CODEC_H_
--- a/include/bamboorack/caller/caller_thread.h
+++ b/include/bamboorack/caller/caller_thread.h
@@ -39,8 +39,9 @@
  public:
   /// The rings and `metrics` must outlive this object. `in` gets a waker, so
   /// build this object before anything is pushed to it.
-  CallerThread(CallerThreadSettings settings, BoundedRing<FromCaller>& out,
-               BoundedRing<ToCaller>& in, Metrics& metrics);
+  CallerThread(const CallerThreadSettings& settings,
+               BoundedRing<FromCaller>& out, BoundedRing<ToCaller>& in,
+               Metrics& metrics);
   /// Stops at once if `Stop` was not called.
   ~CallerThread();
   CallerThread(const CallerThread&) = delete;
--- a/include/bamboorack/caller/request_check.h
+++ b/include/bamboorack/caller/request_check.h
@@ -13,10 +13,10 @@
 
 /// Sizes above which a request is refused, in bytes.
 struct RequestLimits {
-  std::size_t head = 16 * 1024;
+  std::size_t head = 16'384;
   /// For the ranks lookup and once.
-  std::size_t body = 1024 * 1024;
-  std::size_t bulk_body = 64 * 1024 * 1024;
+  std::size_t body = 1'048'576;
+  std::size_t bulk_body = 67'108'864;
   /// After percent-decoding.
   std::size_t key = 512;
   std::size_t request_id = 64;
--- /dev/null
+++ b/include/bamboorack/core/http_connection.h
@@ -0,0 +1,95 @@
+#ifndef BAMBOORACK_CORE_HTTP_CONNECTION_H_
+#define BAMBOORACK_CORE_HTTP_CONNECTION_H_
+
+#include <Poco/Net/HTTPMessage.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "bamboorack/core/request.h"
+
+namespace bamboorack {
+
+/// An encoded HTTP message. `body` may be null.
+struct HttpBytes {
+  std::string head;
+  Body body;
+};
+
+/// Returns a shared body without bytes.
+Body EmptyBody();
+
+/// Returns the length of the message head at the start of `input`, with its
+/// blank line, or nothing if the head is not complete.
+std::optional<std::size_t> FindHeadEnd(std::string_view input);
+
+/// Parses a request head that ends with its blank line. The error says what is
+/// wrong.
+tl::expected<Poco::Net::HTTPRequest, std::string> ParseRequestHead(
+    std::string_view head);
+
+/// The same for the head of a response.
+tl::expected<Poco::Net::HTTPResponse, std::string> ParseResponseHead(
+    std::string_view head);
+
+/// Returns all headers of `message` in the order in which they were sent.
+std::vector<Header> HeadersOf(const Poco::Net::HTTPMessage& message);
+
+/// A non-blocking connection with a buffer for each direction.
+class HttpConnection {
+ public:
+  enum class IoStatus : std::uint8_t {
+    kOk,
+    /// The peer closed its sending direction.
+    kClosed,
+    /// The connection is broken.
+    kFailed,
+  };
+
+  /// Makes `socket` non-blocking and sends small messages without delay.
+  explicit HttpConnection(const Poco::Net::StreamSocket& stream);
+
+  /// Reads what has arrived, up to a few reads so that one peer cannot hold
+  /// the thread, and until the input holds `max_input` bytes.
+  IoStatus Read(std::size_t max_input);
+  /// Reads and discards what has arrived.
+  IoStatus ReadAndDiscard();
+  /// The bytes that were read and not yet taken.
+  std::string& Input() { return this->input; }
+
+  /// Appends to the output. Sends nothing.
+  void Queue(HttpBytes message);
+  /// Sends as much of the output as the kernel takes.
+  IoStatus Write();
+  bool HasOutput() const { return !this->output.empty(); }
+  /// Bytes that the kernel has taken since the connection was opened.
+  std::uint64_t BytesWritten() const { return this->bytes_written; }
+
+  /// Tells the peer that nothing more will be sent.
+  void CloseSend();
+
+  Poco::Net::StreamSocket& Socket() { return this->socket; }
+
+ private:
+  IoStatus Receive(std::string* target, std::size_t max_input);
+  IoStatus SendFront(bool& is_blocked);
+
+  Poco::Net::StreamSocket socket;
+  std::string input;
+  std::deque<Body> output;
+  std::size_t front_sent = 0;
+  std::uint64_t bytes_written = 0;
+};
+
+}  // namespace bamboorack
+
+#endif  // BAMBOORACK_CORE_HTTP_CONNECTION_H_
--- /dev/null
+++ b/include/bamboorack/core/http_text.h
@@ -0,0 +1,31 @@
+#ifndef BAMBOORACK_CORE_HTTP_TEXT_H_
+#define BAMBOORACK_CORE_HTTP_TEXT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bamboorack {
+
+/// Reads a decimal number without sign or space; nothing if `text` is empty,
+/// has another character or does not fit.
+std::optional<std::uint64_t> ParseDecimal(std::string_view text);
+
+/// Compares header names without regard to ASCII case.
+bool IsSameHeaderName(std::string_view first, std::string_view second);
+
+/// Returns whether the header belongs to one connection or frames the body, so
+/// that it must not be passed on.
+bool IsConnectionHeader(std::string_view name);
+
+/// Decodes `%XX`; nothing if an escape is broken. Leaves `+` as it is.
+std::optional<std::string> PercentDecode(std::string_view text);
+
+/// Escapes all bytes but letters, digits and `-._~`, so that the result is one
+/// path segment.
+std::string PercentEncode(std::string_view text);
+
+}  // namespace bamboorack
+
+#endif  // BAMBOORACK_CORE_HTTP_TEXT_H_
--- a/include/bamboorack/upstream/upstream_thread.h
+++ b/include/bamboorack/upstream/upstream_thread.h
@@ -24,7 +24,7 @@
   /// refused with `queue_full`.
   std::size_t max_waiting = 1024;
   /// Larger answers are refused with `upstream_bad_answer`, in bytes.
-  std::size_t max_answer_body = 64 * 1024 * 1024;
+  std::size_t max_answer_body = 67'108'864;
 };
 
 /// Serves all connections to upstreams with one thread. Connections are kept
@@ -33,7 +33,8 @@
  public:
   /// The rings and `metrics` must outlive this object. `in` gets a waker, so
   /// build this object before anything is pushed to it.
-  UpstreamThread(UpstreamThreadSettings settings, BoundedRing<ToUpstream>& in,
+  UpstreamThread(const UpstreamThreadSettings& settings,
+                 BoundedRing<ToUpstream>& in,
                  BoundedRing<UpstreamToRouting>& to_routing,
                  BoundedRing<ControlResult>& to_control, Metrics& metrics);
   /// Stops at once if `Stop` was not called.
--- /dev/null
+++ b/lib/caller/caller_codec.cc
@@ -0,0 +1,106 @@
+#include "bamboorack/caller/caller_codec.h"
+
+#include <Poco/JSON/Object.h>
+#include <Poco/Net/HTTPResponse.h>
+
+#include <algorithm>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "bamboorack/core/http_text.h"
+
+namespace bamboorack::caller {
+namespace {
+
+constexpr std::string_view kOutcomeHeader = "X-Bamboorack-Outcome";
+constexpr std::string_view kReasonHeader = "X-Bamboorack-Reason";
+
+bool IsOwnHeader(std::string_view name) {
+  return IsSameHeaderName(name, kOutcomeHeader) ||
+         IsSameHeaderName(name, kReasonHeader);
+}
+
+// RFC 9110 forbids a body and a Content-Length for these.
+bool HasNoBody(int status) { return status < 200 || status == 204; }
+
+void AppendHeader(std::string& head, std::string_view name,
+                  std::string_view value) {
+  head.append(name).append(": ").append(value).append("\r\n");
+}
+
+std::string StartHead(int status, Ending ending) {
+  using Poco::Net::HTTPResponse;
+  std::string head = "HTTP/1.1 " + std::to_string(status) + ' ' +
+                     HTTPResponse::getReasonForStatus(
+                         static_cast<HTTPResponse::HTTPStatus>(status)) +
+                     "\r\n";
+  AppendHeader(head, kOutcomeHeader, NameOf(ending));
+  return head;
+}
+
+HttpBytes Finish(std::string head, int status, Body body,
+                 const AnswerForm& form) {
+  const std::size_t length = body == nullptr ? 0 : body->size();
+  // The length that GET would have is not known for an upstream's answer to
+  // HEAD, so none is given.
+  if (!HasNoBody(status) && !(form.is_head && length == 0)) {
+    AppendHeader(head, "Content-Length", std::to_string(length));
+  }
+  if (!form.keep_alive) AppendHeader(head, "Connection", "close");
+  head.append("\r\n");
+  if (form.is_head || HasNoBody(status)) body = nullptr;
+  return {std::move(head), std::move(body)};
+}
+
+// A detail can quote what a caller sent, which may be long or not be UTF-8.
+std::string ToSafeText(std::string text) {
+  constexpr std::size_t kMaxDetail = 256;
+  if (text.size() > kMaxDetail) text.resize(kMaxDetail);
+  std::replace_if(
+      text.begin(), text.end(),
+      [](char letter) { return letter < ' ' || letter >= '\x7f'; }, '?');
+  return text;
+}
+
+Body RefusalBody(const Refusal& refusal) {
+  Poco::JSON::Object json(Poco::JSON_PRESERVE_KEY_ORDER);
+  json.set("outcome", std::string(NameOf(refusal.ending)));
+  json.set("reason", std::string(InfoOf(refusal.reason).name));
+  json.set("detail", ToSafeText(refusal.detail));
+  std::ostringstream text;
+  json.stringify(text);
+  return std::make_shared<const std::string>(text.str());
+}
+
+}  // namespace
+
+RequestHead ToRequestHead(const Poco::Net::HTTPRequest& request) {
+  return {request.getMethod(), request.getURI(), HeadersOf(request)};
+}
+
+HttpBytes EncodeAnswer(const Result& result, const AnswerForm& form) {
+  if (!result) {
+    const Refusal& refusal = result.error();
+    const ReasonInfo& info = InfoOf(refusal.reason);
+    std::string head = StartHead(info.http_status, refusal.ending);
+    AppendHeader(head, kReasonHeader, info.name);
+    AppendHeader(head, "Content-Type", "application/json");
+    return Finish(std::move(head), info.http_status, RefusalBody(refusal),
+                  form);
+  }
+  std::string head = StartHead(result->status, Ending::kDone);
+  for (const Header& header : result->headers) {
+    if (IsConnectionHeader(header.name) || IsOwnHeader(header.name)) continue;
+    AppendHeader(head, header.name, header.value);
+  }
+  return Finish(std::move(head), result->status, result->body, form);
+}
+
+HttpBytes EncodeContinue() {
+  return {"HTTP/1.1 100 Continue\r\n\r\n", nullptr};
+}
+
+}  // namespace bamboorack::caller
--- /dev/null
+++ b/lib/core/http_connection.cc
@@ -0,0 +1,197 @@
+#include "bamboorack/core/http_connection.h"
+
+#include <Poco/Exception.h>
+#include <Poco/MemoryStream.h>
+#include <Poco/Net/NetException.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <utility>
+
+namespace bamboorack {
+namespace {
+
+constexpr std::size_t kReadSize = 65'536;
+// Four full reads for each event bound the time that one fast sender takes
+// from the other connections.
+constexpr int kReadsPerEvent = 4;
+// Up to this size a body is copied behind its head, which saves a send call.
+constexpr std::size_t kJoinedBody = 16'384;
+
+// POCO takes a lone line feed for a line end and skips lines without a colon.
+// A peer that counts lines differently could see another message than this
+// process, so such heads are refused.
+std::optional<std::string> FindFramingFault(std::string_view head) {
+  std::size_t begin = 0;
+  bool is_start_line = true;
+  while (begin < head.size()) {
+    const std::size_t end = head.find("\r\n", begin);
+    if (end == std::string_view::npos) return "line without end";
+    const std::string_view line = head.substr(begin, end - begin);
+    if (line.find_first_of(std::string_view("\0\r\n", 3)) !=
+        std::string_view::npos) {
+      return "control character in the head";
+    }
+    begin = end + 2;
+    if (line.empty()) break;
+    const std::size_t colon = line.find(':');
+    const bool has_name =
+        colon != std::string_view::npos && colon > 0 &&
+        line.substr(0, colon).find_first_of(" \t") == std::string_view::npos;
+    if (!is_start_line && !has_name) return "header line without a name";
+    is_start_line = false;
+  }
+  if (is_start_line || begin != head.size()) return "head without start line";
+  return std::nullopt;
+}
+
+template <typename Message>
+tl::expected<Message, std::string> ParseHead(std::string_view head) {
+  if (auto fault = FindFramingFault(head)) {
+    return tl::make_unexpected(std::move(*fault));
+  }
+  Message message;
+  Poco::MemoryInputStream stream(head.data(),
+                                 static_cast<std::streamsize>(head.size()));
+  try {
+    message.read(stream);
+  } catch (const Poco::Exception& error) {
+    return tl::make_unexpected(error.displayText());
+  }
+  if (message.getVersion() != Poco::Net::HTTPMessage::HTTP_1_1 &&
+      message.getVersion() != Poco::Net::HTTPMessage::HTTP_1_0) {
+    return tl::make_unexpected("unsupported version " + message.getVersion());
+  }
+  return message;
+}
+
+}  // namespace
+
+Body EmptyBody() {
+  static const Body empty = std::make_shared<const std::string>();
+  return empty;
+}
+
+std::optional<std::size_t> FindHeadEnd(std::string_view input) {
+  constexpr std::string_view kBlankLine = "\r\n\r\n";
+  const std::size_t position = input.find(kBlankLine);
+  if (position == std::string_view::npos) return std::nullopt;
+  return position + kBlankLine.size();
+}
+
+tl::expected<Poco::Net::HTTPRequest, std::string> ParseRequestHead(
+    std::string_view head) {
+  return ParseHead<Poco::Net::HTTPRequest>(head);
+}
+
+tl::expected<Poco::Net::HTTPResponse, std::string> ParseResponseHead(
+    std::string_view head) {
+  return ParseHead<Poco::Net::HTTPResponse>(head);
+}
+
+std::vector<Header> HeadersOf(const Poco::Net::HTTPMessage& message) {
+  std::vector<Header> headers;
+  headers.reserve(message.size());
+  for (const auto& [name, value] : message) headers.push_back({name, value});
+  return headers;
+}
+
+HttpConnection::HttpConnection(const Poco::Net::StreamSocket& stream)
+    : socket(stream) {
+  this->socket.setBlocking(false);
+  this->socket.setNoDelay(true);
+}
+
+HttpConnection::IoStatus HttpConnection::Read(std::size_t max_input) {
+  return this->Receive(&this->input, max_input);
+}
+
+HttpConnection::IoStatus HttpConnection::ReadAndDiscard() {
+  return this->Receive(nullptr, kReadSize);
+}
+
+HttpConnection::IoStatus HttpConnection::Receive(std::string* target,
+                                                 std::size_t max_input) {
+  static thread_local std::array<char, kReadSize> buffer;
+  for (int turn = 0; turn < kReadsPerEvent; ++turn) {
+    const std::size_t held = target == nullptr ? 0 : target->size();
+    if (held >= max_input) return IoStatus::kOk;
+    const int wanted =
+        static_cast<int>(std::min(buffer.size(), max_input - held));
+    try {
+      const int received = this->socket.receiveBytes(buffer.data(), wanted);
+      if (received == 0) return IoStatus::kClosed;
+      if (received < 0) return IoStatus::kOk;
+      if (target != nullptr) {
+        target->append(buffer.data(), static_cast<std::size_t>(received));
+      }
+      if (received < wanted) return IoStatus::kOk;
+    } catch (const Poco::TimeoutException&) {
+      return IoStatus::kOk;
+    } catch (const Poco::Exception&) {
+      return IoStatus::kFailed;
+    }
+  }
+  return IoStatus::kOk;
+}
+
+void HttpConnection::Queue(HttpBytes message) {
+  const bool has_body = message.body != nullptr && !message.body->empty();
+  if (has_body && message.body->size() <= kJoinedBody) {
+    message.head.append(*message.body);
+    message.body = nullptr;
+  }
+  this->output.push_back(
+      std::make_shared<const std::string>(std::move(message.head)));
+  if (has_body && message.body != nullptr) {
+    this->output.push_back(std::move(message.body));
+  }
+}
+
+HttpConnection::IoStatus HttpConnection::Write() {
+  bool is_blocked = false;
+  while (!this->output.empty() && !is_blocked) {
+    const IoStatus status = this->SendFront(is_blocked);
+    if (status != IoStatus::kOk) return status;
+  }
+  return IoStatus::kOk;
+}
+
+void HttpConnection::CloseSend() {
+  try {
+    this->socket.shutdownSend();
+  } catch (const Poco::Exception&) {
+    // The peer has reset the connection; the next read reports it.
+    return;
+  }
+}
+
+HttpConnection::IoStatus HttpConnection::SendFront(bool& is_blocked) {
+  const std::string& front = *this->output.front();
+  const std::size_t left = front.size() - this->front_sent;
+  try {
+    const int sent = this->socket.sendBytes(
+        front.data() + this->front_sent, static_cast<int>(left), MSG_NOSIGNAL);
+    if (sent < 0) {
+      is_blocked = true;
+      return IoStatus::kOk;
+    }
+    this->bytes_written += static_cast<std::uint64_t>(sent);
+    this->front_sent += static_cast<std::size_t>(sent);
+    is_blocked = static_cast<std::size_t>(sent) < left;
+  } catch (const Poco::TimeoutException&) {
+    is_blocked = true;
+    return IoStatus::kOk;
+  } catch (const Poco::Exception&) {
+    return IoStatus::kFailed;
+  }
+  if (this->front_sent == front.size()) {
+    this->output.pop_front();
+    this->front_sent = 0;
+  }
+  return IoStatus::kOk;
+}
+
+}  // namespace bamboorack
--- /dev/null
+++ b/lib/core/http_text.cc
@@ -0,0 +1,91 @@
+#include "bamboorack/core/http_text.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstddef>
+#include <system_error>
+
+namespace bamboorack {
+namespace {
+
+constexpr std::array<std::string_view, 8> kConnectionHeaders = {
+    "Connection", "Content-Length", "Keep-Alive", "Proxy-Connection",
+    "TE",         "Trailer",        "Upgrade",    "Transfer-Encoding"};
+
+constexpr char ToLower(char letter) {
+  return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a')
+                                        : letter;
+}
+
+constexpr bool IsUnreserved(char letter) {
+  const char lower = ToLower(letter);
+  return (lower >= 'a' && lower <= 'z') || (letter >= '0' && letter <= '9') ||
+         letter == '-' || letter == '.' || letter == '_' || letter == '~';
+}
+
+std::optional<unsigned char> ParseHexByte(std::string_view digits) {
+  unsigned char byte = 0;
+  const char* const end = digits.data() + digits.size();
+  const auto [stop, error] = std::from_chars(digits.data(), end, byte, 16);
+  if (digits.size() != 2 || error != std::errc() || stop != end) {
+    return std::nullopt;
+  }
+  return byte;
+}
+
+}  // namespace
+
+std::optional<std::uint64_t> ParseDecimal(std::string_view text) {
+  std::uint64_t number = 0;
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, number);
+  if (text.empty() || error != std::errc() || stop != end) return std::nullopt;
+  return number;
+}
+
+bool IsSameHeaderName(std::string_view first, std::string_view second) {
+  return std::equal(first.begin(), first.end(), second.begin(), second.end(),
+                    [](char a, char b) { return ToLower(a) == ToLower(b); });
+}
+
+bool IsConnectionHeader(std::string_view name) {
+  return std::any_of(
+      kConnectionHeaders.begin(), kConnectionHeaders.end(),
+      [name](std::string_view own) { return IsSameHeaderName(own, name); });
+}
+
+std::optional<std::string> PercentDecode(std::string_view text) {
+  std::string decoded;
+  decoded.reserve(text.size());
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '%') {
+      decoded.push_back(text[i]);
+      continue;
+    }
+    const auto byte = ParseHexByte(text.substr(i + 1, 2));
+    if (!byte) return std::nullopt;
+    decoded.push_back(static_cast<char>(*byte));
+    i += 2;
+  }
+  return decoded;
+}
+
+std::string PercentEncode(std::string_view text) {
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  std::string encoded;
+  encoded.reserve(text.size());
+  for (const char letter : text) {
+    if (IsUnreserved(letter)) {
+      encoded.push_back(letter);
+      continue;
+    }
+    const auto byte = static_cast<unsigned char>(letter);
+    encoded.push_back('%');
+    encoded.push_back(kDigits[byte >> 4U]);
+    encoded.push_back(kDigits[byte & 0xFU]);
+  }
+  return encoded;
+}
+
+}  // namespace bamboorack
--- /dev/null
+++ b/unittests/core/http_connection_test.cc
@@ -0,0 +1,155 @@
+#include "bamboorack/core/http_connection.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "bamboorack/core/http_text.h"
+#include "bamboorack/core/poll_reactor.h"
+
+namespace bamboorack {
+namespace {
+
+using Poco::Net::PollSet;
+using Poco::Net::StreamSocket;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+struct SocketPair {
+  SocketPair() {
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+    this->client.connect(listener.address());
+    this->server = listener.acceptConnection();
+  }
+  StreamSocket client;
+  StreamSocket server;
+};
+
+MonotonicTime Soon() { return steady_clock::now() + std::chrono::seconds(5); }
+
+SCENARIO("two readers of one head see two different messages") {
+  struct Row {
+    const char* title;
+    std::string head;
+    bool is_accepted;
+  };
+  const std::string start = "GET / HTTP/1.1\r\n";
+  const Row rows[] = {
+      {"plain", start + "A: b\r\n\r\n", true},
+      {"without headers", start + "\r\n", true},
+      {"lone line feed", start + "A: b\nC: d\r\n\r\n", false},
+      {"line without a colon", start + "A b\r\n\r\n", false},
+      {"space before the colon", start + "A : b\r\n\r\n", false},
+      {"folded line", start + "A: b\r\n c: d\r\n\r\n", false},
+      {"NUL", start + std::string("A: \0\r\n\r\n", 9), false},
+      {"no start line", "\r\n\r\n", false},
+      {"other version", "GET / HTTP/2.0\r\n\r\n", false},
+      {"no version", "GET /\r\n\r\n", false},
+  };
+  for (const Row& row : rows) {
+    SECTION(row.title) {
+      CHECK(ParseRequestHead(row.head).has_value() == row.is_accepted);
+    }
+  }
+}
+
+SCENARIO("a number in a header is read as another number") {
+  CHECK(ParseDecimal("0") == 0U);
+  CHECK(ParseDecimal("600000") == 600'000U);
+  for (const char* text :
+       {"", "-1", "+1", " 1", "1 ", "0x1", "1e3", "18446744073709551616"}) {
+    CAPTURE(text);
+    CHECK_FALSE(ParseDecimal(text).has_value());
+  }
+}
+
+SCENARIO("a slow or closed peer stops the thread or keeps it busy") {
+  SocketPair pair;
+  PollReactor reactor;
+  HttpConnection connection(pair.server);
+  const auto key = reactor.Add(connection.Socket(), PollSet::POLL_READ);
+
+  SECTION("nothing has arrived, so a read returns at once") {
+    CHECK(connection.Read(100) == HttpConnection::IoStatus::kOk);
+    CHECK(connection.Input().empty());
+  }
+  SECTION("more than the limit arrives") {
+    pair.client.sendBytes("0123456789", 10);
+    REQUIRE(reactor.Wait(Soon()).size() == 1);
+    REQUIRE(connection.Read(4) == HttpConnection::IoStatus::kOk);
+    CHECK(connection.Input() == "0123");
+  }
+  SECTION("a peer that does not read") {
+    const auto body =
+        std::make_shared<const std::string>(std::size_t{64} << 20, 'x');
+    connection.Queue({"head", body});
+    REQUIRE(connection.Write() == HttpConnection::IoStatus::kOk);
+    CHECK(connection.HasOutput());
+    CHECK(connection.BytesWritten() > 0);
+    CHECK(connection.BytesWritten() < body->size());
+  }
+  SECTION("the peer resets a connection that is watched for nothing") {
+    reactor.SetModes(key, 0);
+    pair.client.setLinger(true, 0);
+    pair.client.close();
+    const auto events = reactor.Wait(Soon());
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].has_failed);
+  }
+  SECTION("the peer closes") {
+    pair.client.close();
+    SECTION("and the event says so") {
+      REQUIRE(reactor.Wait(Soon()).at(0).key == key);
+      CHECK(connection.Read(100) == HttpConnection::IoStatus::kClosed);
+    }
+    SECTION("and a connection watched for nothing does not spin") {
+      reactor.SetModes(key, 0);
+      const auto until = steady_clock::now() + milliseconds(20);
+      CHECK(reactor.Wait(until).empty());
+      CHECK(steady_clock::now() >= until);
+    }
+  }
+}
+
+SCENARIO("a thread that waits for sockets misses a push or a deadline") {
+  PollReactor reactor;
+  SECTION("a wake-up before the wait ends it") {
+    reactor.Wake();
+    const auto begin = steady_clock::now();
+    CHECK(reactor.Wait(begin + std::chrono::seconds(5)).empty());
+    CHECK(steady_clock::now() - begin < std::chrono::seconds(4));
+    SECTION("and only this one") {
+      const auto until = steady_clock::now() + milliseconds(5);
+      CHECK(reactor.Wait(until).empty());
+      CHECK(steady_clock::now() >= until);
+    }
+  }
+  SECTION("a wake-up during the wait ends it") {
+    std::thread waker([&reactor] { reactor.Wake(); });
+    const auto begin = steady_clock::now();
+    CHECK(reactor.Wait(begin + std::chrono::seconds(5)).empty());
+    CHECK(steady_clock::now() - begin < std::chrono::seconds(4));
+    waker.join();
+  }
+  SECTION("deadlines expire in order and once") {
+    const auto now = steady_clock::now();
+    const auto late = reactor.NewKey();
+    const auto early = reactor.NewKey();
+    const auto cleared = reactor.NewKey();
+    reactor.SetDeadline(late, now - milliseconds(1));
+    reactor.SetDeadline(early, now - milliseconds(2));
+    reactor.SetDeadline(cleared, now - milliseconds(3));
+    reactor.ClearDeadline(cleared);
+    CHECK(reactor.Wait(Soon()).empty());
+    CHECK(reactor.PopExpired(now) == early);
+    CHECK(reactor.PopExpired(now) == late);
+    CHECK_FALSE(reactor.PopExpired(now).has_value());
+  }
+}
+
+}  // namespace
+}  // namespace bamboorack
