upstream: add the codec and the upstream thread

Exchanges are small strategy objects with one lane of connections each, so that renewals never wait behind requests, revocations or settle calls. Nothing is written after send_before, which is checked directly before the first write.

--- a/include/bamboorack/core/http_connection.h
+++ b/include/bamboorack/core/http_connection.h
@@ -15,19 +15,11 @@
 #include <tl/expected.hpp>
 #include <vector>
 
+#include "bamboorack/core/http_text.h"
 #include "bamboorack/core/request.h"
 
 namespace bamboorack {
 
-/// An encoded HTTP message. `body` may be null.
-struct HttpBytes {
-  std::string head;
-  Body body;
-};
-
-/// Returns a shared body without bytes.
-Body EmptyBody();
-
 /// Returns the length of the message head at the start of `input`, with its
 /// blank line, or nothing if the head is not complete.
 std::optional<std::size_t> FindHeadEnd(std::string_view input);
--- a/include/bamboorack/core/http_text.h
+++ b/include/bamboorack/core/http_text.h
@@ -6,8 +6,23 @@
 #include <string>
 #include <string_view>
 
+#include "bamboorack/core/request.h"
+
 namespace bamboorack {
 
+/// An encoded HTTP message. `body` may be null.
+struct HttpBytes {
+  std::string head;
+  Body body;
+};
+
+/// Returns a shared body without bytes.
+Body EmptyBody();
+
+/// Appends one header line to `head`.
+void AppendHeader(std::string& head, std::string_view name,
+                  std::string_view value);
+
 /// Reads a decimal number without sign or space; nothing if `text` is empty,
 /// has another character or does not fit.
 std::optional<std::uint64_t> ParseDecimal(std::string_view text);
--- a/lib/caller/caller_codec.cc
+++ b/lib/caller/caller_codec.cc
@@ -26,11 +26,6 @@
 // RFC 9110 forbids a body and a Content-Length for these.
 bool HasNoBody(int status) { return status < 200 || status == 204; }
 
-void AppendHeader(std::string& head, std::string_view name,
-                  std::string_view value) {
-  head.append(name).append(": ").append(value).append("\r\n");
-}
-
 std::string StartHead(int status, Ending ending) {
   using Poco::Net::HTTPResponse;
   std::string head = "HTTP/1.1 " + std::to_string(status) + ' ' +
--- a/lib/core/http_connection.cc
+++ b/lib/core/http_connection.cc
@@ -69,11 +69,6 @@
 
 }  // namespace
 
-Body EmptyBody() {
-  static const Body empty = std::make_shared<const std::string>();
-  return empty;
-}
-
 std::optional<std::size_t> FindHeadEnd(std::string_view input) {
   constexpr std::string_view kBlankLine = "\r\n\r\n";
   const std::size_t position = input.find(kBlankLine);
--- a/lib/core/http_text.cc
+++ b/lib/core/http_text.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <cstddef>
+#include <memory>
 #include <system_error>
 
 namespace bamboorack {
@@ -36,6 +37,16 @@
 
 }  // namespace
 
+Body EmptyBody() {
+  static const Body empty = std::make_shared<const std::string>();
+  return empty;
+}
+
+void AppendHeader(std::string& head, std::string_view name,
+                  std::string_view value) {
+  head.append(name).append(": ").append(value).append("\r\n");
+}
+
 std::optional<std::uint64_t> ParseDecimal(std::string_view text) {
   std::uint64_t number = 0;
   const char* const end = text.data() + text.size();
--- /dev/null
+++ b/lib/upstream/exchange.cc
@@ -0,0 +1,188 @@
+#include "bamboorack/upstream/exchange.h"
+
+#include <array>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace bamboorack::upstream {
+namespace {
+
+struct FailureRow {
+  Failure failure;
+  Reason reason;
+  std::string_view detail;
+  ControlError control_error;
+};
+
+// Indexed by failure.
+constexpr std::array<FailureRow, 7> kFailures = {
+    FailureRow{Failure::kConnectFailed, Reason::kUpstreamLost,
+               "cannot connect to the upstream", ControlError::kUnreachable},
+    FailureRow{Failure::kQueueFull, Reason::kQueueFull,
+               "too many requests wait for a connection",
+               ControlError::kUnreachable},
+    FailureRow{Failure::kConnectionLost, Reason::kUpstreamLost,
+               "connection lost before the whole answer came",
+               ControlError::kUnreachable},
+    FailureRow{Failure::kBadAnswer, Reason::kUpstreamBadAnswer,
+               "answer breaks the protocol", ControlError::kBadAnswer},
+    FailureRow{Failure::kDeadlinePassed, Reason::kDeadlinePassed,
+               "no answer by the deadline", ControlError::kUnreachable},
+    FailureRow{Failure::kCancelled, Reason::kCancelled, "cancelled",
+               ControlError::kUnreachable},
+    FailureRow{Failure::kStopping, Reason::kStopping, "the daemon stops",
+               ControlError::kUnreachable}};
+
+// Indexed by the alternatives of `ControlRequest`.
+constexpr std::array<Lane, std::variant_size_v<ControlRequest>> kControlLanes =
+    {Lane::kControl, Lane::kControl, Lane::kControl, Lane::kRevoke,
+     Lane::kSettle};
+
+const FailureRow& RowOf(Failure failure) {
+  return kFailures.at(static_cast<std::size_t>(failure));
+}
+
+/// Tells an upstream to stop work. Nobody waits for its end.
+class CancelExchange : public Exchange {
+ public:
+  CancelExchange(RequestId id, Endpoint target, MonotonicTime end)
+      : request(std::move(id)), endpoint(std::move(target)), deadline(end) {}
+
+  Lane GetLane() const override { return Lane::kSettle; }
+  const Endpoint& Target() const override { return this->endpoint; }
+  HttpBytes Encode() const override {
+    return EncodeCancel(this->request, this->endpoint);
+  }
+  MonotonicTime SendBefore() const override { return this->deadline; }
+  MonotonicTime Deadline() const override { return this->deadline; }
+  void Succeed(AnswerHead /*head*/, Body /*body*/,
+               ResultOutbox& /*outbox*/) override {}
+  void Fail(Failure /*failure*/, bool /*was_written*/,
+            ResultOutbox& /*outbox*/) override {}
+
+ private:
+  RequestId request;
+  Endpoint endpoint;
+  MonotonicTime deadline;
+};
+
+class DispatchExchange : public Exchange {
+ public:
+  explicit DispatchExchange(Dispatch order) : dispatch(std::move(order)) {}
+
+  Lane GetLane() const override { return Lane::kData; }
+  const Endpoint& Target() const override { return this->dispatch.endpoint; }
+  HttpBytes Encode() const override { return EncodeDispatch(this->dispatch); }
+  MonotonicTime SendBefore() const override {
+    return this->dispatch.send_before;
+  }
+  MonotonicTime Deadline() const override {
+    return this->dispatch.request.deadline;
+  }
+  bool IsHead() const override {
+    return this->dispatch.request.method == "HEAD";
+  }
+  std::optional<DispatchId> Id() const override { return this->dispatch.id; }
+  bool Matches(const AnswerHead& head) const override {
+    return IsAnswerTo(head, this->dispatch.request.id);
+  }
+
+  void Succeed(AnswerHead head, Body body, ResultOutbox& outbox) override {
+    outbox.Add(
+        DispatchResult{this->dispatch.id,
+                       DecodeDispatchAnswer(std::move(head), std::move(body))});
+  }
+
+  void Fail(Failure failure, bool was_written, ResultOutbox& outbox) override {
+    const FailureRow& row = RowOf(failure);
+    const Ending ending = was_written ? Ending::kUnknown : Ending::kNotRun;
+    outbox.Add(DispatchResult{
+        this->dispatch.id, tl::make_unexpected(Refusal{
+                               ending, row.reason, std::string(row.detail)})});
+  }
+
+  std::unique_ptr<Exchange> MakeCancel(MonotonicTime deadline) override {
+    return std::make_unique<CancelExchange>(this->dispatch.request.id,
+                                            this->dispatch.endpoint, deadline);
+  }
+
+ private:
+  Dispatch dispatch;
+};
+
+class ControlExchange : public Exchange {
+ public:
+  explicit ControlExchange(ControlCall order) : call(std::move(order)) {}
+
+  Lane GetLane() const override {
+    return kControlLanes.at(this->call.request.index());
+  }
+  const Endpoint& Target() const override { return this->call.endpoint; }
+  HttpBytes Encode() const override {
+    return EncodeControl(this->call.request, this->call.endpoint);
+  }
+  MonotonicTime SendBefore() const override { return this->call.deadline; }
+  MonotonicTime Deadline() const override { return this->call.deadline; }
+
+  void Succeed(AnswerHead head, Body body, ResultOutbox& outbox) override {
+    this->Finish(DecodeControlAnswer(this->call.request, head.status, *body),
+                 outbox);
+  }
+
+  void Fail(Failure failure, bool /*was_written*/,
+            ResultOutbox& outbox) override {
+    this->Finish(tl::make_unexpected(RowOf(failure).control_error), outbox);
+  }
+
+ private:
+  void Finish(tl::expected<ControlAnswer, ControlError> answer,
+              ResultOutbox& outbox) {
+    ControlResult result{this->call.id, this->call.upstream, std::move(answer)};
+    if (std::holds_alternative<SettleCall>(this->call.request)) {
+      outbox.Add(std::move(result));
+      return;
+    }
+    outbox.AddForControl(std::move(result));
+  }
+
+  ControlCall call;
+};
+
+template <typename Item>
+bool FlushInto(std::deque<Item>& items, BoundedRing<Item>& ring) {
+  while (!items.empty() && ring.TryPush(std::move(items.front()))) {
+    items.pop_front();
+  }
+  return items.empty();
+}
+
+}  // namespace
+
+ResultOutbox::ResultOutbox(BoundedRing<UpstreamToRouting>& to_routing,
+                           BoundedRing<ControlResult>& to_control)
+    : routing(to_routing), control(to_control) {}
+
+void ResultOutbox::Add(UpstreamToRouting result) {
+  this->routing_results.push_back(std::move(result));
+}
+
+void ResultOutbox::AddForControl(ControlResult result) {
+  this->control_results.push_back(std::move(result));
+}
+
+bool ResultOutbox::Flush() {
+  const bool is_routing_empty = FlushInto(this->routing_results, this->routing);
+  const bool is_control_empty = FlushInto(this->control_results, this->control);
+  return is_routing_empty && is_control_empty;
+}
+
+std::unique_ptr<Exchange> MakeExchange(Dispatch dispatch) {
+  return std::make_unique<DispatchExchange>(std::move(dispatch));
+}
+
+std::unique_ptr<Exchange> MakeExchange(ControlCall call) {
+  return std::make_unique<ControlExchange>(std::move(call));
+}
+
+}  // namespace bamboorack::upstream
--- /dev/null
+++ b/lib/upstream/upstream_codec.cc
@@ -0,0 +1,369 @@
+#include "bamboorack/upstream/upstream_codec.h"
+
+#include <Poco/Dynamic/Var.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPResponse.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <limits>
+#include <memory>
+#include <sstream>
+#include <utility>
+#include <variant>
+
+#include "bamboorack/core/http_connection.h"
+
+namespace bamboorack::upstream {
+namespace {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+using Decoded = tl::expected<ControlAnswer, ControlError>;
+
+// Answers of the protocol nest two deep.
+constexpr std::size_t kMaxJsonDepth = 4;
+
+std::string TextOf(const GroupId& group) {
+  std::ostringstream text;
+  text << group;
+  return text.str();
+}
+
+Array::Ptr ToJson(const std::vector<ShardId>& shards) {
+  Array::Ptr array = new Array;
+  for (const ShardId shard : shards) array->add(shard.value);
+  return array;
+}
+
+template <typename Call>
+Object MakeOrder(const Call& call) {
+  Object json(Poco::JSON_PRESERVE_KEY_ORDER);
+  json.set("group", TextOf(call.group));
+  json.set("instance", call.instance.value);
+  json.set("token", call.token.value);
+  return json;
+}
+
+Object EncodeClock(const ControlRequest& /*request*/) { return Object(); }
+
+Object EncodeFence(const ControlRequest& request) {
+  return MakeOrder(std::get<FenceCall>(request));
+}
+
+Object EncodeGrant(const ControlRequest& request) {
+  const auto& call = std::get<GrantCall>(request);
+  Object json = MakeOrder(call);
+  json.set("echo_clock_ms", call.echoed_reading.time_since_epoch().count());
+  json.set("lease_ms", call.lease.count());
+  json.set("only_if_unexpired", call.only_if_unexpired);
+  json.set("shards", ToJson(call.shards));
+  return json;
+}
+
+Object EncodeRevoke(const ControlRequest& request) {
+  const auto& call = std::get<RevokeCall>(request);
+  Object json = MakeOrder(call);
+  json.set("shards", ToJson(call.shards));
+  return json;
+}
+
+Object EncodeSettle(const ControlRequest& request) {
+  Object json;
+  json.set("request_id", std::get<SettleCall>(request).request.value);
+  return json;
+}
+
+/// Reads the fields of a JSON object and remembers whether one was missing or
+/// of another type.
+class FieldReader {
+ public:
+  explicit FieldReader(const std::string& text) {
+    try {
+      Poco::JSON::Parser parser;
+      parser.setDepth(kMaxJsonDepth);
+      this->object = parser.parse(text).extract<Object::Ptr>();
+    } catch (const Poco::Exception&) {
+      this->is_bad = true;
+    }
+  }
+
+  std::uint64_t Number(const std::string& name) {
+    return this->ToNumber(this->Get(name));
+  }
+
+  UpstreamReading Reading(const std::string& name) {
+    return UpstreamReading(std::chrono::milliseconds(this->Number(name)));
+  }
+
+  bool Flag(const std::string& name) {
+    const auto value = this->Get(name);
+    if (value.isBoolean()) return value.convert<bool>();
+    this->is_bad = true;
+    return false;
+  }
+
+  std::string Text(const std::string& name) {
+    const auto value = this->Get(name);
+    if (value.isString()) return value.convert<std::string>();
+    this->is_bad = true;
+    return {};
+  }
+
+  std::vector<ShardId> Shards(const std::string& name) {
+    std::vector<ShardId> shards;
+    const auto value = this->Get(name);
+    if (value.type() != typeid(Array::Ptr)) {
+      this->is_bad = true;
+      return shards;
+    }
+    for (const auto& item : *value.extract<Array::Ptr>()) {
+      const std::uint64_t shard = this->ToNumber(item);
+      this->is_bad |= shard > std::numeric_limits<std::uint32_t>::max();
+      shards.emplace_back(static_cast<std::uint32_t>(shard));
+    }
+    return shards;
+  }
+
+  bool IsBad() const { return this->is_bad; }
+
+ private:
+  Poco::Dynamic::Var Get(const std::string& name) {
+    if (this->object.isNull() || !this->object->has(name)) {
+      this->is_bad = true;
+      return {};
+    }
+    return this->object->get(name);
+  }
+
+  std::uint64_t ToNumber(const Poco::Dynamic::Var& value) {
+    if (!value.isEmpty() && value.isInteger() && !value.isBoolean()) {
+      try {
+        const auto number = value.convert<Poco::Int64>();
+        if (number >= 0) return static_cast<std::uint64_t>(number);
+      } catch (const Poco::Exception&) {
+        this->is_bad = true;
+      }
+    }
+    this->is_bad = true;
+    return 0;
+  }
+
+  Object::Ptr object;
+  bool is_bad = false;
+};
+
+ControlAnswer DecodeClock(FieldReader& json) {
+  return ClockAnswer{UpstreamInstance(json.Text("instance")),
+                     json.Reading("clock_ms"),
+                     FencingToken(json.Number("token")), json.Flag("draining")};
+}
+
+ControlAnswer DecodeFence(FieldReader& json) {
+  return FenceAnswer{json.Reading("clock_ms"), json.Flag("lease_expired"),
+                     json.Flag("draining"), json.Shards("shards")};
+}
+
+ControlAnswer DecodeGrant(FieldReader& json) {
+  return GrantAnswer{json.Reading("clock_ms"), json.Flag("draining")};
+}
+
+ControlAnswer DecodeSettle(FieldReader& json) {
+  constexpr std::array<std::pair<std::string_view, SettleState>, 3> kStates = {
+      std::pair{"done", SettleState::kDone},
+      std::pair{"running", SettleState::kRunning},
+      std::pair{"not_run", SettleState::kNotRun}};
+  const std::string name = json.Text("state");
+  for (const auto& [state_name, state] : kStates) {
+    if (state_name == name) return SettleAnswer{state};
+  }
+  // An unknown state proves nothing; `Flag` of a missing field marks it bad.
+  json.Flag("");
+  return SettleAnswer{};
+}
+
+struct ControlRow {
+  std::string_view method;
+  std::string_view path;
+  Object (*encode)(const ControlRequest&);
+  /// Null if the answer's body has no content.
+  ControlAnswer (*decode)(FieldReader&);
+};
+
+// Indexed by the alternatives of `ControlRequest`.
+constexpr std::array<ControlRow, 5> kControls = {
+    ControlRow{"GET", "/control/clock", &EncodeClock, &DecodeClock},
+    ControlRow{"POST", "/control/fence", &EncodeFence, &DecodeFence},
+    ControlRow{"POST", "/control/grant", &EncodeGrant, &DecodeGrant},
+    ControlRow{"POST", "/control/revoke", &EncodeRevoke, nullptr},
+    ControlRow{"POST", "/control/settle", &EncodeSettle, &DecodeSettle}};
+static_assert(kControls.size() == std::variant_size_v<ControlRequest>);
+
+struct ControlStatusRow {
+  int status;
+  ControlError error;
+};
+
+constexpr std::array kControlErrors = {
+    ControlStatusRow{409, ControlError::kStaleToken},
+    ControlStatusRow{410, ControlError::kOtherInstance},
+    ControlStatusRow{412, ControlError::kLeaseExpired}};
+
+struct NotRunRow {
+  std::string_view value;
+  Reason reason;
+};
+
+constexpr std::array kNotRunReasons = {
+    NotRunRow{"shed", Reason::kUpstreamShed},
+    NotRunRow{"draining", Reason::kUpstreamDraining},
+    NotRunRow{"deadline", Reason::kDeadlinePassed},
+    NotRunRow{"stale_token", Reason::kUpstreamRefusedToken},
+    NotRunRow{"not_owner", Reason::kUpstreamRefusedOwner},
+    NotRunRow{"other_instance", Reason::kUpstreamLost}};
+
+std::string StartHead(std::string_view method, std::string_view target,
+                      const Endpoint& endpoint) {
+  std::string head(method);
+  head.append(" ").append(target).append(" HTTP/1.1\r\n");
+  AppendHeader(head, "Host",
+               endpoint.host + ':' + std::to_string(endpoint.port));
+  return head;
+}
+
+HttpBytes EncodeJsonPost(std::string_view path, const Endpoint& endpoint,
+                         const Object& json) {
+  std::ostringstream text;
+  json.stringify(text);
+  std::string head = StartHead("POST", path, endpoint);
+  AppendHeader(head, "Content-Type", "application/json");
+  AppendHeader(head, "Content-Length", std::to_string(text.str().size()));
+  head.append("\r\n");
+  return {std::move(head), std::make_shared<const std::string>(text.str())};
+}
+
+bool HasNoBody(int status) {
+  return status < 200 || status == 204 || status == 304;
+}
+
+}  // namespace
+
+HttpBytes EncodeControl(const ControlRequest& request,
+                        const Endpoint& endpoint) {
+  const ControlRow& row = kControls.at(request.index());
+  if (row.method == "GET") {
+    return {StartHead(row.method, row.path, endpoint) + "\r\n", nullptr};
+  }
+  return EncodeJsonPost(row.path, endpoint, row.encode(request));
+}
+
+HttpBytes EncodeCancel(const RequestId& request, const Endpoint& endpoint) {
+  Object json;
+  json.set("request_id", request.value);
+  return EncodeJsonPost("/control/cancel", endpoint, json);
+}
+
+HttpBytes EncodeDispatch(const Dispatch& dispatch) {
+  const Request& request = dispatch.request;
+  std::string head =
+      StartHead(request.method, '/' + PercentEncode(request.key) + request.rest,
+                dispatch.endpoint);
+  AppendHeader(head, "X-Request-Id", request.id.value);
+  AppendHeader(head, "X-Service", request.service.value);
+  AppendHeader(head, "X-Shard", std::to_string(dispatch.shard.value));
+  AppendHeader(head, "X-Token", std::to_string(dispatch.token.value));
+  AppendHeader(head, "X-Instance", dispatch.upstream.instance.value);
+  AppendHeader(
+      head, "X-Deadline-Clock-Ms",
+      std::to_string(dispatch.upstream_deadline.time_since_epoch().count()));
+  AppendHeader(head, "X-Rank", NameOf(request.rank));
+  if (!request.content_type.empty()) {
+    AppendHeader(head, "Content-Type", request.content_type);
+  }
+  if (!request.body->empty() || request.method.starts_with('P')) {
+    AppendHeader(head, "Content-Length", std::to_string(request.body->size()));
+  }
+  head.append("\r\n");
+  return {std::move(head), request.body};
+}
+
+const std::string* AnswerHead::Find(std::string_view name) const {
+  for (const Header& header : this->headers) {
+    if (IsSameHeaderName(header.name, name)) return &header.value;
+  }
+  return nullptr;
+}
+
+tl::expected<AnswerHead, std::string> DecodeAnswerHead(std::string_view head,
+                                                       bool answers_head,
+                                                       std::size_t max_body) {
+  const auto parsed = ParseResponseHead(head);
+  if (!parsed) return tl::make_unexpected(parsed.error());
+  AnswerHead answer;
+  answer.status = parsed->getStatus();
+  answer.headers = HeadersOf(*parsed);
+  answer.keep_alive = parsed->getKeepAlive();
+  if (answer.status < 100 || answer.status > 599) {
+    return tl::make_unexpected("invalid status " +
+                               std::to_string(answer.status));
+  }
+  if (answer.Find("Transfer-Encoding") != nullptr) {
+    return tl::make_unexpected(std::string("Transfer-Encoding in the answer"));
+  }
+  if (answers_head || HasNoBody(answer.status)) return answer;
+  const auto lengths = std::count_if(
+      answer.headers.begin(), answer.headers.end(), [](const Header& header) {
+        return IsSameHeaderName(header.name, "Content-Length");
+      });
+  if (lengths != 1) {
+    return tl::make_unexpected("answer has " + std::to_string(lengths) +
+                               " Content-Length headers, needs 1");
+  }
+  const std::string& text = *answer.Find("Content-Length");
+  const auto length = ParseDecimal(text);
+  if (!length || *length > max_body) {
+    return tl::make_unexpected("invalid Content-Length " + text);
+  }
+  answer.body_length = *length;
+  return answer;
+}
+
+Decoded DecodeControlAnswer(const ControlRequest& request, int status,
+                            const std::string& body) {
+  for (const ControlStatusRow& row : kControlErrors) {
+    if (row.status == status) return tl::make_unexpected(row.error);
+  }
+  if (status != 200) return tl::make_unexpected(ControlError::kBadAnswer);
+  const ControlRow& row = kControls.at(request.index());
+  if (row.decode == nullptr) return ControlAnswer(RevokeAnswer{});
+  FieldReader reader(body);
+  ControlAnswer answer = row.decode(reader);
+  if (reader.IsBad()) return tl::make_unexpected(ControlError::kBadAnswer);
+  return answer;
+}
+
+Result DecodeDispatchAnswer(AnswerHead head, Body body) {
+  if (head.status >= 200 && head.status < 500) {
+    return Answer{head.status, std::move(head.headers), std::move(body)};
+  }
+  const std::string* not_run = head.Find("X-Not-Run");
+  if (head.status == 503 && not_run != nullptr) {
+    for (const NotRunRow& row : kNotRunReasons) {
+      if (row.value == *not_run) {
+        return NotRun(row.reason, "upstream did not run the request");
+      }
+    }
+  }
+  return Unknown(Reason::kUpstreamBadAnswer,
+                 "upstream answered " + std::to_string(head.status));
+}
+
+bool IsAnswerTo(const AnswerHead& head, const RequestId& request) {
+  const std::string* id = head.Find("X-Request-Id");
+  return id == nullptr || *id == request.value;
+}
+
+}  // namespace bamboorack::upstream
--- /dev/null
+++ b/lib/upstream/upstream_reactor.cc
@@ -0,0 +1,456 @@
+#include "bamboorack/upstream/upstream_reactor.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/PollSet.h>
+#include <Poco/Net/SocketAddress.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+namespace bamboorack::upstream {
+namespace {
+
+using Poco::Net::PollSet;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+using IoStatus = HttpConnection::IoStatus;
+
+constexpr std::size_t kMaxAnswerHead = 32'768;
+constexpr int kMessagesPerTurn = 1024;
+// Rings do not tell when they have room again.
+constexpr milliseconds kOutboxRetry{5};
+constexpr milliseconds kCancelTimeout{1'000};
+constexpr MonotonicTime::rep kNoDeadline =
+    MonotonicTime::max().time_since_epoch().count();
+// For the lanes after `kData`. Renewals to one upstream follow each other, so
+// a second connection is only needed when the first has gone silent.
+constexpr std::array<std::size_t, kLaneCount> kControlConnections = {0, 3, 2,
+                                                                     4};
+
+bool IsInterim(int status) { return status >= 100 && status < 200; }
+
+}  // namespace
+
+// Indexed by phase.
+const std::array<UpstreamReactor::PhaseRow, 3> UpstreamReactor::kPhases = {
+    PhaseRow{Phase::kConnecting, &UpstreamReactor::OnConnecting,
+             &UpstreamReactor::OnConnectExpired},
+    PhaseRow{Phase::kIdle, &UpstreamReactor::OnIdle,
+             &UpstreamReactor::OnIdleExpired},
+    PhaseRow{Phase::kExchanging, &UpstreamReactor::OnExchanging,
+             &UpstreamReactor::OnExchangeExpired}};
+
+UpstreamReactor::UpstreamReactor(const UpstreamThreadSettings& thread_settings,
+                                 BoundedRing<ToUpstream>& in_ring,
+                                 BoundedRing<UpstreamToRouting>& to_routing,
+                                 BoundedRing<ControlResult>& to_control,
+                                 Metrics& daemon_metrics)
+    : settings(thread_settings),
+      in(in_ring),
+      metrics(daemon_metrics),
+      poll(std::make_shared<PollReactor>()),
+      outbox(to_routing, to_control),
+      stop_deadline(kNoDeadline) {
+  // The waker keeps the poll alive, so a push after the end of this thread
+  // does no harm.
+  this->in.SetWaker([shared = this->poll] { shared->Wake(); });
+}
+
+void UpstreamReactor::StopBy(MonotonicTime deadline) {
+  this->stop_deadline.store(deadline.time_since_epoch().count());
+  this->poll->Wake();
+}
+
+void UpstreamReactor::Run() {
+  while (true) {
+    MonotonicTime until(MonotonicTime::duration(this->stop_deadline.load()));
+    if (!this->outbox.Flush()) {
+      until = std::min(until, steady_clock::now() + kOutboxRetry);
+    }
+    for (const PollReactor::Event& event : this->poll->Wait(until)) {
+      const auto found = this->connections.find(event.key);
+      // An earlier event of the same turn may have closed the connection.
+      if (found == this->connections.end()) continue;
+      Connection& connection = *found->second;
+      const auto& row = kPhases.at(static_cast<std::size_t>(connection.phase));
+      (this->*row.on_event)(connection, event);
+    }
+    const MonotonicTime now = steady_clock::now();
+    while (const auto key = this->poll->PopExpired(now)) {
+      this->HandleExpired(*key);
+    }
+    this->TakeMessages();
+    const MonotonicTime stop_by(
+        MonotonicTime::duration(this->stop_deadline.load()));
+    if (stop_by != MonotonicTime::max() && this->IsDone(stop_by)) break;
+  }
+  this->AbandonAll();
+}
+
+bool UpstreamReactor::IsDone(MonotonicTime stop_by) const {
+  const bool is_quiet =
+      this->exchanging == 0 && this->waiting.empty() && this->in.Size() == 0;
+  return is_quiet || steady_clock::now() >= stop_by;
+}
+
+void UpstreamReactor::AbandonAll() {
+  while (!this->waiting.empty()) {
+    this->EndWaiting(this->RemoveWaiting(this->waiting.begin()->first),
+                     Failure::kStopping);
+  }
+  while (!this->connections.empty()) {
+    Connection& connection = *this->connections.begin()->second;
+    if (connection.exchange != nullptr) {
+      this->FailExchange(connection, Failure::kStopping,
+                         "upstream_exchanges_cut_off");
+    } else {
+      this->Close(connection);
+    }
+  }
+  while (auto message = this->in.TryPop()) {
+    if (auto* dispatch = std::get_if<Dispatch>(&*message)) {
+      MakeExchange(std::move(*dispatch))
+          ->Fail(Failure::kStopping, false, this->outbox);
+    }
+  }
+  this->outbox.Flush();
+}
+
+void UpstreamReactor::HandleExpired(Key key) {
+  if (auto exchange = this->RemoveWaiting(key)) {
+    this->EndWaiting(std::move(exchange), Failure::kDeadlinePassed);
+    return;
+  }
+  const auto found = this->connections.find(key);
+  if (found == this->connections.end()) return;
+  Connection& connection = *found->second;
+  const auto& row = kPhases.at(static_cast<std::size_t>(connection.phase));
+  (this->*row.on_expired)(connection);
+}
+
+void UpstreamReactor::TakeMessage::operator()(Dispatch dispatch) const {
+  this->reactor.Submit(MakeExchange(std::move(dispatch)));
+}
+
+void UpstreamReactor::TakeMessage::operator()(
+    const CancelDispatch& cancel) const {
+  this->reactor.Cancel(cancel.id);
+}
+
+void UpstreamReactor::TakeMessage::operator()(ControlCall call) const {
+  this->reactor.Submit(MakeExchange(std::move(call)));
+}
+
+void UpstreamReactor::TakeMessages() {
+  for (int i = 0; i < kMessagesPerTurn; ++i) {
+    auto message = this->in.TryPop();
+    if (!message) return;
+    std::visit(TakeMessage{*this}, std::move(*message));
+  }
+  this->poll->Wake();
+}
+
+std::size_t UpstreamReactor::LimitOf(Lane lane) const {
+  if (lane == Lane::kData) return this->settings.connections_per_upstream;
+  return kControlConnections.at(static_cast<std::size_t>(lane));
+}
+
+void UpstreamReactor::Submit(std::unique_ptr<Exchange> exchange) {
+  const PoolId id(exchange->Target(), exchange->GetLane());
+  Pool& pool = this->pools[id];
+  if (pool.queue.size() >= this->settings.max_waiting) {
+    this->EndWaiting(std::move(exchange), Failure::kQueueFull);
+    return;
+  }
+  const Key key = this->poll->NewKey();
+  this->poll->SetDeadline(
+      key, std::min(exchange->SendBefore(), exchange->Deadline()));
+  if (const auto dispatch = exchange->Id()) this->dispatches[*dispatch] = key;
+  pool.queue.push_back(key);
+  this->waiting.emplace(key, std::move(exchange));
+  this->Serve(id);
+}
+
+void UpstreamReactor::Cancel(DispatchId id) {
+  const auto found = this->dispatches.find(id);
+  if (found == this->dispatches.end()) return;
+  const Key key = found->second;
+  if (auto exchange = this->RemoveWaiting(key)) {
+    this->EndWaiting(std::move(exchange), Failure::kCancelled);
+    return;
+  }
+  Connection& connection = *this->connections.at(key);
+  auto cancel =
+      connection.exchange->MakeCancel(steady_clock::now() + kCancelTimeout);
+  this->FailExchange(connection, Failure::kCancelled, "upstream_cancels");
+  if (cancel != nullptr) this->Submit(std::move(cancel));
+}
+
+void UpstreamReactor::Serve(const PoolId& id) {
+  Pool& pool = this->pools[id];
+  while (!pool.queue.empty() && !pool.idle.empty()) {
+    Connection& connection = *this->connections.at(pool.idle.back());
+    if (!this->IsUsable(connection)) {
+      this->Close(connection);
+      continue;
+    }
+    pool.idle.pop_back();
+    this->Begin(connection, this->TakeWaiting(pool));
+  }
+  while (pool.connecting < pool.queue.size() &&
+         pool.open < this->LimitOf(id.second)) {
+    this->Connect(id);
+  }
+}
+
+void UpstreamReactor::Connect(const PoolId& id) {
+  Pool& pool = this->pools[id];
+  try {
+    Poco::Net::StreamSocket socket;
+    socket.connectNB(Poco::Net::SocketAddress(id.first.host, id.first.port));
+    auto connection = std::make_unique<Connection>(socket, id);
+    connection->key =
+        this->poll->Add(connection->http.Socket(), PollSet::POLL_WRITE);
+    this->poll->SetDeadline(
+        connection->key, steady_clock::now() + this->settings.connect_timeout);
+    ++pool.open;
+    ++pool.connecting;
+    this->connections.emplace(connection->key, std::move(connection));
+  } catch (const Poco::Exception&) {
+    this->OnConnectFailed(id);
+  }
+}
+
+void UpstreamReactor::OnConnectFailed(const PoolId& id) {
+  this->metrics.Count("upstream_connect_failures");
+  // Each failed attempt ends one exchange, so that an unreachable upstream is
+  // reported as fast as its connections fail.
+  if (auto exchange = this->TakeWaiting(this->pools[id])) {
+    this->EndWaiting(std::move(exchange), Failure::kConnectFailed);
+  }
+}
+
+std::unique_ptr<Exchange> UpstreamReactor::TakeWaiting(Pool& pool) {
+  if (pool.queue.empty()) return nullptr;
+  return this->RemoveWaiting(pool.queue.front());
+}
+
+std::unique_ptr<Exchange> UpstreamReactor::RemoveWaiting(Key key) {
+  const auto found = this->waiting.find(key);
+  if (found == this->waiting.end()) return nullptr;
+  auto exchange = std::move(found->second);
+  this->waiting.erase(found);
+  this->poll->ClearDeadline(key);
+  auto& queue = this->pools[{exchange->Target(), exchange->GetLane()}].queue;
+  queue.erase(std::find(queue.begin(), queue.end(), key));
+  return exchange;
+}
+
+void UpstreamReactor::EndWaiting(std::unique_ptr<Exchange> exchange,
+                                 Failure failure) {
+  this->Forget(*exchange);
+  exchange->Fail(failure, false, this->outbox);
+}
+
+void UpstreamReactor::Forget(const Exchange& exchange) {
+  if (const auto id = exchange.Id()) this->dispatches.erase(*id);
+}
+
+bool UpstreamReactor::IsUsable(Connection& connection) {
+  const IoStatus status = connection.http.Read(1);
+  if (!connection.http.Input().empty()) {
+    this->metrics.Count("upstream_unmatched_answers");
+    return false;
+  }
+  return status == IoStatus::kOk;
+}
+
+void UpstreamReactor::Begin(Connection& connection,
+                            std::unique_ptr<Exchange> exchange) {
+  HttpBytes request = exchange->Encode();
+  // Checked after the encoding, directly before the first write: a pause of
+  // this thread in between must not let an old request out.
+  if (steady_clock::now() > exchange->SendBefore()) {
+    this->EndWaiting(std::move(exchange), Failure::kDeadlinePassed);
+    this->Park(connection);
+    return;
+  }
+  connection.written_before = connection.http.BytesWritten();
+  connection.http.Queue(std::move(request));
+  const IoStatus status = connection.http.Write();
+  connection.phase = Phase::kExchanging;
+  ++this->exchanging;
+  if (const auto id = exchange->Id()) this->dispatches[*id] = connection.key;
+  this->poll->SetDeadline(connection.key, exchange->Deadline());
+  connection.exchange = std::move(exchange);
+  if (status != IoStatus::kOk) {
+    this->FailExchange(connection, Failure::kConnectionLost,
+                       "upstream_lost_connections");
+    return;
+  }
+  const int write =
+      connection.http.HasOutput() ? static_cast<int>(PollSet::POLL_WRITE) : 0;
+  this->poll->SetModes(connection.key, PollSet::POLL_READ | write);
+}
+
+void UpstreamReactor::Park(Connection& connection) {
+  connection.phase = Phase::kIdle;
+  this->poll->SetModes(connection.key, PollSet::POLL_READ);
+  this->poll->SetDeadline(connection.key,
+                          steady_clock::now() + this->settings.idle_timeout);
+  this->pools[connection.pool].idle.push_back(connection.key);
+}
+
+void UpstreamReactor::Close(Connection& connection) {
+  Pool& pool = this->pools[connection.pool];
+  --pool.open;
+  if (connection.phase == Phase::kConnecting) --pool.connecting;
+  if (connection.phase == Phase::kExchanging) --this->exchanging;
+  std::erase(pool.idle, connection.key);
+  this->poll->Remove(connection.key);
+  this->connections.erase(connection.key);
+}
+
+void UpstreamReactor::OnConnecting(Connection& connection,
+                                   const PollReactor::Event& event) {
+  int error = 0;
+  connection.http.Socket().impl()->getOption(SOL_SOCKET, SO_ERROR, error);
+  const PoolId id = connection.pool;
+  if (error != 0 || event.has_failed) {
+    this->Close(connection);
+    this->OnConnectFailed(id);
+  } else {
+    --this->pools[id].connecting;
+    this->metrics.Count("upstream_connections");
+    this->Park(connection);
+  }
+  this->Serve(id);
+}
+
+void UpstreamReactor::OnConnectExpired(Connection& connection) {
+  const PoolId id = connection.pool;
+  this->Close(connection);
+  this->OnConnectFailed(id);
+  this->Serve(id);
+}
+
+void UpstreamReactor::OnIdle(Connection& connection,
+                             const PollReactor::Event& /*event*/) {
+  if (this->IsUsable(connection)) return;
+  this->metrics.Count("upstream_idle_closes");
+  this->Close(connection);
+}
+
+void UpstreamReactor::OnIdleExpired(Connection& connection) {
+  this->Close(connection);
+}
+
+void UpstreamReactor::OnExchanging(Connection& connection,
+                                   const PollReactor::Event& event) {
+  const bool can_write =
+      !event.is_writable || connection.http.Write() == IoStatus::kOk;
+  if (event.is_readable || event.has_failed || !can_write) {
+    // An upstream may answer and close without reading the whole request, so
+    // what it has sent is read before the connection is given up.
+    const IoStatus status =
+        connection.http.Read(kMaxAnswerHead + this->settings.max_answer_body);
+    if (status == IoStatus::kClosed) connection.peer_closed = true;
+    if (!this->ReadAnswer(connection)) return;
+    if (status != IoStatus::kOk || event.has_failed || !can_write) {
+      this->FailExchange(connection, Failure::kConnectionLost,
+                         "upstream_lost_connections");
+      return;
+    }
+  }
+  const int write =
+      connection.http.HasOutput() ? static_cast<int>(PollSet::POLL_WRITE) : 0;
+  this->poll->SetModes(connection.key, PollSet::POLL_READ | write);
+}
+
+bool UpstreamReactor::ReadAnswer(Connection& connection) {
+  while (!connection.answer) {
+    const std::size_t before = connection.http.Input().size();
+    if (!this->TakeAnswerHead(connection)) return false;
+    if (connection.http.Input().size() == before) return true;
+  }
+  if (connection.http.Input().size() < connection.answer->body_length) {
+    return true;
+  }
+  this->TakeAnswer(connection);
+  return false;
+}
+
+bool UpstreamReactor::TakeAnswerHead(Connection& connection) {
+  std::string& input = connection.http.Input();
+  const auto length = FindHeadEnd(input);
+  if (length.value_or(input.size()) > kMaxAnswerHead) {
+    this->FailExchange(connection, Failure::kBadAnswer, "upstream_bad_answers");
+    return false;
+  }
+  if (!length) return true;
+  auto head = DecodeAnswerHead(std::string_view(input).substr(0, *length),
+                               connection.exchange->IsHead(),
+                               this->settings.max_answer_body);
+  if (!head) {
+    this->FailExchange(connection, Failure::kBadAnswer, "upstream_bad_answers");
+    return false;
+  }
+  if (!connection.exchange->Matches(*head)) {
+    this->FailExchange(connection, Failure::kBadAnswer,
+                       "upstream_unmatched_answers");
+    return false;
+  }
+  input.erase(0, *length);
+  if (!IsInterim(head->status)) connection.answer = std::move(*head);
+  return true;
+}
+
+void UpstreamReactor::TakeAnswer(Connection& connection) {
+  AnswerHead head = std::move(*connection.answer);
+  connection.answer.reset();
+  std::string body = std::move(connection.http.Input());
+  std::string rest = body.substr(head.body_length);
+  body.resize(head.body_length);
+  connection.http.Input().clear();
+  const bool has_rest = !rest.empty();
+  const bool is_reusable = head.keep_alive && !has_rest &&
+                           !connection.peer_closed &&
+                           !connection.http.HasOutput();
+  if (has_rest) this->metrics.Count("upstream_unmatched_answers");
+  const auto exchange = std::move(connection.exchange);
+  this->Forget(*exchange);
+  exchange->Succeed(std::move(head),
+                    std::make_shared<const std::string>(std::move(body)),
+                    this->outbox);
+  const PoolId id = connection.pool;
+  if (is_reusable) {
+    --this->exchanging;
+    this->Park(connection);
+  } else {
+    this->Close(connection);
+  }
+  this->Serve(id);
+}
+
+void UpstreamReactor::FailExchange(Connection& connection, Failure failure,
+                                   std::string_view counter) {
+  this->metrics.Count(counter);
+  const bool was_written =
+      connection.http.BytesWritten() > connection.written_before;
+  const auto exchange = std::move(connection.exchange);
+  this->Forget(*exchange);
+  exchange->Fail(failure, was_written, this->outbox);
+  const PoolId id = connection.pool;
+  this->Close(connection);
+  this->Serve(id);
+}
+
+void UpstreamReactor::OnExchangeExpired(Connection& connection) {
+  this->FailExchange(connection, Failure::kDeadlinePassed,
+                     "upstream_late_answers");
+}
+
+}  // namespace bamboorack::upstream
