--- a/include/bamboorack/core/poll_reactor.h
+++ b/include/bamboorack/core/poll_reactor.h
@@ -1,11 +1,9 @@
 #ifndef BAMBOORACK_CORE_POLL_REACTOR_H_
 #define BAMBOORACK_CORE_POLL_REACTOR_H_
 
-#include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/Socket.h>
 
-#include <atomic>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -14,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "bamboorack/core/poll_waker.h"
 #include "bamboorack/core/time.h"
 
 namespace bamboorack {
@@ -34,9 +33,6 @@
     bool has_failed = false;
   };
 
-  /// Opens the socket for `Wake`; throws `Poco::Exception` if it cannot.
-  PollReactor();
-
   /// Returns a key that can only have a deadline.
   Key NewKey();
   /// Watches `socket` for `modes`, a sum of `Poco::Net::PollSet::Mode`.
@@ -62,7 +58,7 @@
   std::optional<Key> PopExpired(MonotonicTime now);
 
   /// Ends the current or the next `Wait`. Any thread may call it.
-  void Wake();
+  void Wake() { this->waker.Wake(); }
 
  private:
   struct Watched {
@@ -70,11 +66,8 @@
     int modes = 0;
   };
 
-  void DrainWakeSocket();
-
   Poco::Net::PollSet poll_set;
-  Poco::Net::DatagramSocket wake_socket;
-  std::atomic<bool> wake_pending{false};
+  PollWaker waker{this->poll_set};
   Key last_key = 0;
   std::unordered_map<Key, Watched> watched;
   std::map<Poco::Net::Socket, Key> keys;
--- a/lib/core/poll_reactor.cc
+++ b/lib/core/poll_reactor.cc
@@ -1,11 +1,8 @@
 #include "bamboorack/core/poll_reactor.h"
 
-#include <Poco/Net/NetException.h>
-#include <Poco/Net/SocketAddress.h>
 #include <Poco/Timespan.h>
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 
 namespace bamboorack {
@@ -24,14 +21,6 @@
 
 }  // namespace
 
-PollReactor::PollReactor() {
-  // A UDP socket that is connected to itself receives only what `Wake` sends.
-  this->wake_socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
-  this->wake_socket.connect(this->wake_socket.address());
-  this->wake_socket.setBlocking(false);
-  this->poll_set.add(this->wake_socket, PollSet::POLL_READ);
-}
-
 PollReactor::Key PollReactor::NewKey() { return ++this->last_key; }
 
 PollReactor::Key PollReactor::Add(const Poco::Net::Socket& socket, int modes) {
@@ -83,11 +72,9 @@
   std::vector<Event> events;
   events.reserve(ready.size());
   for (const auto& [socket, modes] : ready) {
+    if (this->waker.Consume(socket)) continue;
     const auto found = this->keys.find(socket);
-    if (found == this->keys.end()) {
-      this->DrainWakeSocket();
-      continue;
-    }
+    if (found == this->keys.end()) continue;
     events.push_back(Event{found->second, (modes & PollSet::POLL_READ) != 0,
                            (modes & PollSet::POLL_WRITE) != 0,
                            (modes & PollSet::POLL_ERROR) != 0});
@@ -104,23 +91,4 @@
   return key;
 }
 
-void PollReactor::DrainWakeSocket() {
-  std::array<char, 64> buffer{};
-  while (this->wake_socket.receiveBytes(buffer.data(), buffer.size()) > 0) {
-  }
-  // Cleared after the socket is empty and before the caller looks for work, so
-  // a push that finds the flag still set is seen in this turn.
-  this->wake_pending.store(false);
-}
-
-void PollReactor::Wake() {
-  if (this->wake_pending.exchange(true)) return;
-  const char byte = 1;
-  try {
-    this->wake_socket.sendBytes(&byte, 1);
-  } catch (const Poco::Exception&) {
-    this->wake_pending.store(false);
-  }
-}
-
 }  // namespace bamboorack
