--- a/lib/caller/caller_reactor.cc
+++ b/lib/caller/caller_reactor.cc
@@ -80,9 +80,11 @@
 }
 
 void CallerReactor::Listen() {
+  // With one argument less POCO also sets SO_REUSEPORT, and a second daemon
+  // would take part of the connections to the same port.
   this->listener.bind(Poco::Net::SocketAddress(this->settings.listen.host,
                                                this->settings.listen.port),
-                      true);
+                      true, false);
   this->listener.listen(kBacklog);
   this->port = this->listener.address().port();
   this->listener_key = this->poll->Add(this->listener, PollSet::POLL_READ);
--- a/tools/fakes/upstream/main.cc
+++ b/tools/fakes/upstream/main.cc
@@ -25,6 +25,7 @@
 // that takes over.
 constexpr int kMaxThreads = 280;
 constexpr int kKeepAliveSeconds = 60;
+constexpr int kBacklog = 1024;
 
 struct Options {
   std::uint16_t port = 0;
@@ -69,8 +70,10 @@
   const sigset_t stop_signals = BlockStopSignals();
   UpstreamServer upstream(options.upstream);
   Poco::ThreadPool threads(4, kMaxThreads);
-  Poco::Net::ServerSocket socket(
-      Poco::Net::SocketAddress("127.0.0.1", options.port), 1024);
+  // Without SO_REUSEPORT, so that two upstreams cannot share a port.
+  Poco::Net::ServerSocket socket;
+  socket.bind(Poco::Net::SocketAddress("127.0.0.1", options.port), true, false);
+  socket.listen(kBacklog);
   Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
   params->setMaxThreads(kMaxThreads);
   params->setMaxQueued(kMaxThreads);
--- /dev/null
+++ b/unittests/support/raw_peer.h
@@ -0,0 +1,112 @@
+#ifndef BAMBOORACK_UNITTESTS_SUPPORT_RAW_PEER_H_
+#define BAMBOORACK_UNITTESTS_SUPPORT_RAW_PEER_H_
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Timespan.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "bamboorack/core/http_text.h"
+#include "bamboorack/core/time.h"
+
+namespace bamboorack::testing {
+
+/// The bound of every wait in the tests.
+inline MonotonicTime Soon() {
+  return std::chrono::steady_clock::now() + std::chrono::seconds(10);
+}
+
+/// One end of a connection whose bytes the test decides.
+class RawPeer {
+ public:
+  explicit RawPeer(const Poco::Net::StreamSocket& stream) : socket(stream) {
+    this->socket.setReceiveTimeout(Poco::Timespan(10, 0));
+    this->socket.setSendTimeout(Poco::Timespan(10, 0));
+    this->socket.setNoDelay(true);
+  }
+  explicit RawPeer(std::uint16_t port)
+      : RawPeer(Poco::Net::StreamSocket(
+            Poco::Net::SocketAddress("127.0.0.1", port))) {}
+
+  void Send(std::string_view bytes) {
+    while (!bytes.empty()) {
+      const int sent =
+          this->socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+      bytes.remove_prefix(static_cast<std::size_t>(sent));
+    }
+  }
+
+  void SendByteByByte(std::string_view bytes) {
+    for (const char& byte : bytes) this->socket.sendBytes(&byte, 1);
+  }
+
+  /// Returns the next head with its blank line, or what came before the end.
+  std::string ReadHead() {
+    std::size_t end = std::string::npos;
+    while ((end = this->input.find("\r\n\r\n")) == std::string::npos) {
+      if (!this->Receive()) return std::move(this->input);
+    }
+    return this->Take(end + 4);
+  }
+
+  /// Returns the next `length` bytes, or what came before the end.
+  std::string ReadBytes(std::size_t length) {
+    while (this->input.size() < length && this->Receive()) {
+    }
+    return this->Take(std::min(length, this->input.size()));
+  }
+
+  /// Returns the next head and the body that it announces.
+  std::string ReadMessage() {
+    std::string message = this->ReadHead();
+    constexpr std::string_view kName = "Content-Length: ";
+    const std::size_t begin = message.find(kName);
+    if (begin == std::string::npos) return message;
+    const std::size_t value = begin + kName.size();
+    const auto length =
+        ParseDecimal(message.substr(value, message.find('\r', value) - value));
+    return message + this->ReadBytes(length.value_or(0));
+  }
+
+  /// Returns whether the peer ends the connection before sending more.
+  bool IsClosedByPeer() { return !this->Receive() && this->input.empty(); }
+
+  void Close() { this->socket.close(); }
+
+ private:
+  /// Returns false at the end of the connection; throws if nothing comes.
+  bool Receive() {
+    std::array<char, 65'536> buffer{};
+    try {
+      const int received =
+          this->socket.receiveBytes(buffer.data(), buffer.size());
+      if (received <= 0) return false;
+      this->input.append(buffer.data(), static_cast<std::size_t>(received));
+      return true;
+    } catch (const Poco::TimeoutException&) {
+      throw;
+    } catch (const Poco::Exception&) {
+      return false;
+    }
+  }
+
+  std::string Take(std::size_t length) {
+    std::string bytes = this->input.substr(0, length);
+    this->input.erase(0, length);
+    return bytes;
+  }
+
+  Poco::Net::StreamSocket socket;
+  std::string input;
+};
+
+}  // namespace bamboorack::testing
+
+#endif  // BAMBOORACK_UNITTESTS_SUPPORT_RAW_PEER_H_
--- /dev/null
+++ b/unittests/upstream/upstream_thread_test.cc
@@ -0,0 +1,366 @@
+#include "bamboorack/upstream/upstream_thread.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Timespan.h>
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "support/raw_peer.h"
+
+namespace bamboorack::upstream {
+namespace {
+
+using bamboorack::testing::RawPeer;
+using bamboorack::testing::Soon;
+using Catch::Matchers::Contains;
+using Catch::Matchers::StartsWith;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+std::string Ok(const std::string& body, const std::string& headers = "") {
+  return "HTTP/1.1 200 OK\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const char kShed[] =
+    "HTTP/1.1 503 Busy\r\nX-Not-Run: shed\r\nContent-Length: 0\r\n\r\n";
+
+/// An upstream thread whose routing thread and upstream are the test.
+struct Fixture {
+  explicit Fixture(const UpstreamThreadSettings& settings = {},
+                   std::size_t ring_size = 64)
+      : in(64), to_routing(ring_size), to_control(64) {
+    this->listener.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
+    this->listener.listen(64);
+    this->endpoint = {"127.0.0.1", this->listener.address().port()};
+    this->thread = std::make_unique<UpstreamThread>(
+        settings, this->in, this->to_routing, this->to_control, this->metrics);
+    REQUIRE(this->thread->Start().has_value());
+  }
+
+  RawPeer Accept() {
+    REQUIRE(this->listener.poll(Poco::Timespan(10, 0),
+                                Poco::Net::Socket::SELECT_READ));
+    return RawPeer(this->listener.acceptConnection());
+  }
+
+  bool HasNewConnection(milliseconds wait) {
+    return this->listener.poll(
+        Poco::Timespan(0, static_cast<int>(wait.count()) * 1000),
+        Poco::Net::Socket::SELECT_READ);
+  }
+
+  Dispatch MakeDispatch(std::uint64_t id, std::string body = "") const {
+    Dispatch dispatch;
+    dispatch.id = DispatchId(id);
+    dispatch.endpoint = this->endpoint;
+    dispatch.send_before = Soon();
+    dispatch.request.id = RequestId("r" + std::to_string(id));
+    dispatch.request.key = "k" + std::to_string(id);
+    dispatch.request.method = body.empty() ? "GET" : "POST";
+    dispatch.request.deadline = Soon();
+    dispatch.request.body =
+        std::make_shared<const std::string>(std::move(body));
+    return dispatch;
+  }
+
+  ControlCall MakeCall(std::uint64_t id, ControlRequest request) const {
+    return {ControlCallId(id), UpstreamId("u"), this->endpoint, Soon(),
+            std::move(request)};
+  }
+
+  void Push(ToUpstream message) {
+    REQUIRE(this->in.TryPush(std::move(message)));
+  }
+
+  DispatchResult NextResult() {
+    auto result = this->to_routing.PopUntil(Soon());
+    REQUIRE(result.has_value());
+    REQUIRE(std::holds_alternative<DispatchResult>(*result));
+    return std::get<DispatchResult>(std::move(*result));
+  }
+
+  Poco::Net::ServerSocket listener;
+  Endpoint endpoint;
+  BoundedRing<ToUpstream> in;
+  BoundedRing<UpstreamToRouting> to_routing;
+  BoundedRing<ControlResult> to_control;
+  Metrics metrics;
+  std::unique_ptr<UpstreamThread> thread;
+};
+
+SCENARIO("a request gets no answer or the answer to another request") {
+  Fixture fixture;
+  fixture.Push(fixture.MakeDispatch(1, "body"));
+  RawPeer upstream = fixture.Accept();
+  CHECK_THAT(upstream.ReadMessage(),
+             StartsWith("POST /k1 HTTP/1.1\r\n") && Contains("\r\n\r\nbody"));
+
+  SECTION("a whole answer is delivered") {
+    upstream.SendByteByByte("HTTP/1.1 100 Continue\r\n\r\n" +
+                            Ok("answer", "X-Own: 1\r\n"));
+    const auto result = fixture.NextResult();
+    CHECK(result.id == DispatchId(1));
+    CHECK(result.result->status == 200);
+    CHECK(*result.result->body == "answer");
+    SECTION("and the next request uses the same connection") {
+      fixture.Push(fixture.MakeDispatch(2));
+      CHECK_THAT(upstream.ReadMessage(), StartsWith("GET /k2 "));
+      upstream.Send(Ok("second"));
+      CHECK(*fixture.NextResult().result->body == "second");
+      CHECK_FALSE(fixture.HasNewConnection(milliseconds(0)));
+    }
+    SECTION("and a connection that was closed meanwhile is not used") {
+      upstream.Close();
+      fixture.Push(fixture.MakeDispatch(2));
+      RawPeer second = fixture.Accept();
+      CHECK_THAT(second.ReadMessage(), StartsWith("GET /k2 "));
+    }
+    SECTION("and a late second answer is not taken for the next request's") {
+      upstream.Send(Ok("late"));
+      CHECK(upstream.IsClosedByPeer());
+      CHECK(fixture.metrics.CountOf("upstream_unmatched_answers") == 1);
+    }
+  }
+  SECTION("a second request at the same time uses a second connection") {
+    fixture.Push(fixture.MakeDispatch(2));
+    RawPeer second = fixture.Accept();
+    second.ReadMessage();
+    second.Send(Ok("second"));
+    const auto result = fixture.NextResult();
+    CHECK(result.id == DispatchId(2));
+    CHECK(*result.result->body == "second");
+  }
+  SECTION("the upstream does not run it") {
+    upstream.Send(kShed);
+    CHECK(fixture.NextResult().result.error().reason == Reason::kUpstreamShed);
+  }
+  SECTION("the thread stops while it is in flight") {
+    SECTION("and the answer comes in time") {
+      upstream.Send(Ok("answer"));
+      fixture.thread->Stop(Soon());
+      CHECK(fixture.NextResult().result.has_value());
+    }
+    SECTION("and no answer comes") {
+      fixture.thread->Stop(steady_clock::now());
+      const auto result = fixture.NextResult();
+      CHECK(result.result.error().ending == Ending::kUnknown);
+      CHECK(result.result.error().reason == Reason::kStopping);
+    }
+  }
+}
+
+struct Fault {
+  const char* title;
+  std::string answer;
+  Reason reason;
+  const char* counter;
+};
+
+SCENARIO("a request whose fate is not known is reported otherwise") {
+  const Fault faults[] = {
+      {"early close", "", Reason::kUpstreamLost, "upstream_lost_connections"},
+      {"half a head", "HTTP/1.1 200 OK\r\nConte", Reason::kUpstreamLost,
+       "upstream_lost_connections"},
+      {"half a body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhalf",
+       Reason::kUpstreamLost, "upstream_lost_connections"},
+      {"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+       Reason::kUpstreamBadAnswer, "upstream_bad_answers"},
+      {"no length", "HTTP/1.1 200 OK\r\n\r\nbody", Reason::kUpstreamBadAnswer,
+       "upstream_bad_answers"},
+      {"no HTTP", "hello\r\n\r\n", Reason::kUpstreamBadAnswer,
+       "upstream_bad_answers"},
+      {"endless head", std::string(40'000, 'a'), Reason::kUpstreamBadAnswer,
+       "upstream_bad_answers"},
+      {"another request's answer", Ok("", "X-Request-Id: r9\r\n"),
+       Reason::kUpstreamBadAnswer, "upstream_unmatched_answers"},
+  };
+  for (const Fault& fault : faults) {
+    SECTION(fault.title) {
+      Fixture fixture;
+      fixture.Push(fixture.MakeDispatch(1, "body"));
+      RawPeer upstream = fixture.Accept();
+      upstream.ReadMessage();
+      upstream.Send(fault.answer);
+      upstream.Close();
+      const auto result = fixture.NextResult();
+      REQUIRE_FALSE(result.result.has_value());
+      CHECK(result.result.error().ending == Ending::kUnknown);
+      CHECK(result.result.error().reason == fault.reason);
+      CHECK(fixture.metrics.CountOf(fault.counter) == 1);
+    }
+  }
+  SECTION("an upstream that swallows the request") {
+    Fixture fixture;
+    Dispatch dispatch = fixture.MakeDispatch(1);
+    dispatch.request.deadline = steady_clock::now() + milliseconds(50);
+    fixture.Push(std::move(dispatch));
+    RawPeer upstream = fixture.Accept();
+    upstream.ReadMessage();
+    const auto result = fixture.NextResult();
+    CHECK(result.result.error().ending == Ending::kUnknown);
+    CHECK(result.result.error().reason == Reason::kDeadlinePassed);
+    CHECK(upstream.IsClosedByPeer());
+    CHECK(fixture.metrics.CountOf("upstream_late_answers") == 1);
+  }
+  SECTION("an answer that comes before the request is fully sent") {
+    Fixture fixture;
+    fixture.Push(
+        fixture.MakeDispatch(1, std::string(std::size_t{32} << 20U, 'x')));
+    RawPeer upstream = fixture.Accept();
+    upstream.ReadHead();
+    upstream.Send(kShed);
+    CHECK(fixture.NextResult().result.error().reason == Reason::kUpstreamShed);
+  }
+}
+
+SCENARIO("a request that was never sent is reported as unknown or is sent") {
+  UpstreamThreadSettings settings;
+  settings.connections_per_upstream = 1;
+  settings.max_waiting = 1;
+  Fixture fixture(settings);
+  const auto expect_not_run = [&fixture](std::uint64_t id, Reason reason) {
+    const auto result = fixture.NextResult();
+    CHECK(result.id == DispatchId(id));
+    CHECK(result.result.error().ending == Ending::kNotRun);
+    CHECK(result.result.error().reason == reason);
+  };
+
+  SECTION("its time to be sent has passed") {
+    Dispatch dispatch = fixture.MakeDispatch(1);
+    dispatch.send_before = steady_clock::now() - milliseconds(1);
+    fixture.Push(std::move(dispatch));
+    expect_not_run(1, Reason::kDeadlinePassed);
+  }
+  SECTION("nobody listens") {
+    fixture.listener.close();
+    fixture.Push(fixture.MakeDispatch(1));
+    expect_not_run(1, Reason::kUpstreamLost);
+    CHECK(fixture.metrics.CountOf("upstream_connect_failures") == 1);
+  }
+  SECTION("all connections are busy") {
+    fixture.Push(fixture.MakeDispatch(1));
+    RawPeer upstream = fixture.Accept();
+    upstream.ReadMessage();
+    Dispatch second = fixture.MakeDispatch(2);
+    SECTION("until its time to be sent has passed") {
+      second.send_before = steady_clock::now() + milliseconds(20);
+      fixture.Push(std::move(second));
+      expect_not_run(2, Reason::kDeadlinePassed);
+    }
+    SECTION("and it is cancelled while it waits") {
+      fixture.Push(std::move(second));
+      fixture.Push(CancelDispatch{DispatchId(2)});
+      expect_not_run(2, Reason::kCancelled);
+    }
+    SECTION("and too many wait") {
+      fixture.Push(std::move(second));
+      fixture.Push(fixture.MakeDispatch(3));
+      expect_not_run(3, Reason::kQueueFull);
+    }
+    SECTION("and control calls still pass") {
+      fixture.Push(fixture.MakeCall(5, ClockCall{}));
+      RawPeer control = fixture.Accept();
+      CHECK_THAT(control.ReadMessage(), StartsWith("GET /control/clock "));
+      control.Send(
+          Ok(R"({"instance":"i","clock_ms":5,"token":7,"draining":false})"));
+      const auto result = fixture.to_control.PopUntil(Soon());
+      REQUIRE(result.has_value());
+      CHECK(result->id == ControlCallId(5));
+      CHECK(std::get<ClockAnswer>(*result->answer).token == FencingToken(7));
+    }
+    SECTION("and it is sent once the first has ended") {
+      fixture.Push(std::move(second));
+      upstream.Send(Ok(""));
+      CHECK_THAT(upstream.ReadMessage(), StartsWith("GET /k2 "));
+    }
+    SECTION("and the thread stops") {
+      fixture.Push(std::move(second));
+      fixture.thread->Stop(steady_clock::now());
+      expect_not_run(2, Reason::kStopping);
+      CHECK(fixture.NextResult().result.error().ending == Ending::kUnknown);
+    }
+  }
+}
+
+SCENARIO("a cancelled request runs on at the upstream") {
+  Fixture fixture;
+  fixture.Push(fixture.MakeDispatch(1));
+  RawPeer upstream = fixture.Accept();
+  upstream.ReadMessage();
+  WHEN("it is cancelled") {
+    fixture.Push(CancelDispatch{DispatchId(1)});
+    THEN("its end is unknown, its connection closes, the upstream is told") {
+      const auto result = fixture.NextResult();
+      CHECK(result.result.error().ending == Ending::kUnknown);
+      CHECK(result.result.error().reason == Reason::kCancelled);
+      CHECK(upstream.IsClosedByPeer());
+      RawPeer control = fixture.Accept();
+      CHECK_THAT(control.ReadMessage(), StartsWith("POST /control/cancel ") &&
+                                            Contains(R"({"request_id":"r1"})"));
+    }
+  }
+  WHEN("it has already ended") {
+    upstream.Send(Ok(""));
+    CHECK(fixture.NextResult().result.has_value());
+    fixture.Push(CancelDispatch{DispatchId(1)});
+    THEN("the connection serves the next request") {
+      fixture.Push(fixture.MakeDispatch(2));
+      CHECK_THAT(upstream.ReadMessage(), StartsWith("GET /k2 "));
+    }
+  }
+}
+
+SCENARIO("a control call delays another or loses its result") {
+  Fixture fixture;
+  const GroupId group{ServiceName("reader"), FailureDomain("hartford"), 0};
+  SECTION("a revocation that waits for work to end") {
+    fixture.Push(fixture.MakeCall(1, RevokeCall{group, {}, {}, {}}));
+    RawPeer revoke = fixture.Accept();
+    revoke.ReadMessage();
+    fixture.Push(fixture.MakeCall(2, FenceCall{group, {}, {}}));
+    RawPeer fence = fixture.Accept();
+    CHECK_THAT(fence.ReadMessage(), StartsWith("POST /control/fence "));
+    fence.Send("HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n");
+    const auto result = fixture.to_control.PopUntil(Soon());
+    CHECK(result->id == ControlCallId(2));
+    CHECK(result->answer.error() == ControlError::kStaleToken);
+  }
+  SECTION("a settle call answers the routing thread") {
+    fixture.Push(fixture.MakeCall(3, SettleCall{RequestId("r")}));
+    RawPeer control = fixture.Accept();
+    control.ReadMessage();
+    control.Send(Ok(R"({"state":"done"})"));
+    const auto result = fixture.to_routing.PopUntil(Soon());
+    REQUIRE(result.has_value());
+    CHECK(std::get<ControlResult>(*result).id == ControlCallId(3));
+  }
+  SECTION("a silent upstream") {
+    ControlCall call = fixture.MakeCall(4, ClockCall{});
+    call.deadline = steady_clock::now() + milliseconds(30);
+    fixture.Push(std::move(call));
+    const auto result = fixture.to_control.PopUntil(Soon());
+    CHECK(result->answer.error() == ControlError::kUnreachable);
+  }
+}
+
+SCENARIO("a result is lost because the routing ring is full") {
+  Fixture fixture({}, 1);
+  constexpr int kRequests = 5;
+  for (int i = 0; i < kRequests; ++i) {
+    Dispatch dispatch = fixture.MakeDispatch(static_cast<std::uint64_t>(i));
+    dispatch.send_before = steady_clock::now() - milliseconds(1);
+    fixture.Push(std::move(dispatch));
+  }
+  for (int i = 0; i < kRequests; ++i) {
+    CHECK(fixture.NextResult().id == DispatchId(static_cast<std::uint64_t>(i)));
+  }
+}
+
+}  // namespace
+}  // namespace bamboorack::upstream
