upstream: fuzz ownership with simulated daemons, upstreams and log

The proofs of design section 4 need more than hand-written cases. Adds a pure model under one clock with pauses, partitions, lost, late and doubled messages, log outages and replaced VMs; the oracle checks exclusive ownership after each event. First assignments wait until each upstream answered or failed, as else the first one got all shards and later moves left them unserved. The drift factor is 1 + 1/499: 1.001 / 0.999 exceeds 1.002.

--- a/include/bamboorack/upstream/group_authority.h
+++ b/include/bamboorack/upstream/group_authority.h
@@ -117,6 +117,14 @@
     Shards shards;
     MonotonicTime now;
   };
+  /// What the owners should be.
+  struct Plan {
+    std::vector<OwnerTarget> targets;
+    std::map<ShardId, UpstreamRef> wanted;
+    /// Every upstream of the group either answered or failed to.
+    bool is_complete = false;
+    bool can_rebalance = false;
+  };
   struct ProofCheck {
     Proof proof;
     bool (GroupAuthority::*holds)(const View&, ShardId, const Move&) const;
@@ -204,18 +212,16 @@
   std::vector<OwnerTarget> Targets(const View& view) const;
   void PlanMoves(const View& view, AuthorityOutput& output);
   void ConsiderShard(const View& view, ShardId shard, const ShardState& state,
-                     const UpstreamRef& wanted, bool can_rebalance);
+                     const Plan& plan);
   void ConsiderUnsettled(const View& view, ShardId shard,
                          const ShardState& state);
   void ConsiderOwner(const View& view, ShardId shard, Move move,
-                     bool can_rebalance);
-  bool CanRebalance(const View& view,
-                    const std::vector<OwnerTarget>& targets) const;
+                     const Plan& plan);
+  Plan MakePlan(const View& view) const;
+  bool CanRebalance(const View& view, const Plan& plan) const;
   bool TakeMoveBudget(const View& view);
-  void RetargetMoves(const std::vector<OwnerTarget>& targets,
-                     const std::map<ShardId, UpstreamRef>& plan);
-  void AppendProvenMoves(const View& view,
-                         const std::vector<OwnerTarget>& targets,
+  void RetargetMoves(const Plan& plan);
+  void AppendProvenMoves(const View& view, const Plan& plan,
                          AuthorityOutput& output);
 
   GroupId group;
--- a/include/bamboorack/upstream/ownership_rules.h
+++ b/include/bamboorack/upstream/ownership_rules.h
@@ -26,8 +26,9 @@
                                    std::chrono::milliseconds period);
 };
 
-/// Covers a drift of 0.1 % of the clocks on both sides.
-inline constexpr int kDriftDivisor = 500;
+/// Covers a drift of 0.1 % of the clocks on both sides: 1.001 / 0.999 is a
+/// little more than 1.002, and 1 + 1 / 499 is above it.
+inline constexpr int kDriftDivisor = 499;
 
 /// How far the VM list may lag behind. A list that lost an instance of a VM
 /// says nothing of an instance that started less than this time before,
--- a/lib/upstream/moves.cc
+++ b/lib/upstream/moves.cc
@@ -42,74 +42,79 @@
   return targets;
 }
 
-void GroupAuthority::PlanMoves(const View& view, AuthorityOutput& output) {
-  const std::vector<OwnerTarget> targets = this->Targets(view);
-  if (targets.empty() || !view.input.has_log_contact) return;
+GroupAuthority::Plan GroupAuthority::MakePlan(const View& view) const {
+  Plan plan;
+  plan.targets = this->Targets(view);
   std::map<ShardId, std::optional<UpstreamRef>> owners;
   for (const auto& [shard, state] : view.shards) {
     const auto move = this->moves.find(shard);
     owners[shard] = move == this->moves.end() ? state.owner : move->second.to;
   }
   const std::uint64_t salt = HashText(this->group.service.value);
-  const auto plan = PlanOwners(salt, owners, targets);
-  const bool can_rebalance = this->CanRebalance(view, targets);
-  this->RetargetMoves(targets, plan);
-  for (const auto& [shard, state] : view.shards) {
-    if (this->moves.contains(shard)) continue;
-    this->ConsiderShard(view, shard, state, plan.at(shard), can_rebalance);
-  }
-  this->AppendProvenMoves(view, targets, output);
+  plan.wanted = PlanOwners(salt, owners, plan.targets);
+  plan.is_complete = std::none_of(
+      this->links.begin(), this->links.end(),
+      [&](const auto& entry) { return this->IsUndecided(view, entry.second); });
+  plan.can_rebalance = this->CanRebalance(view, plan);
+  return plan;
 }
 
-bool GroupAuthority::CanRebalance(
-    const View& view, const std::vector<OwnerTarget>& targets) const {
+bool GroupAuthority::CanRebalance(const View& view, const Plan& plan) const {
   const auto authority = view.input.state.authorities.find(this->group);
-  if (authority == view.input.state.authorities.end() ||
-      authority->second.released_to) {
-    return false;
-  }
-  for (const auto& [id, link] : this->links) {
-    if (this->IsUndecided(view, link)) return false;
-  }
+  const bool is_stopping = authority == view.input.state.authorities.end() ||
+                           authority->second.released_to;
+  if (is_stopping || !plan.is_complete) return false;
   return std::all_of(
       view.shards.begin(), view.shards.end(), [&](const auto& entry) {
         const auto& [shard, state] = entry;
-        return state.owner &&
-               (this->moves.contains(shard) || IsTarget(targets, *state.owner));
+        return state.owner && (this->moves.contains(shard) ||
+                               IsTarget(plan.targets, *state.owner));
       });
 }
 
-void GroupAuthority::RetargetMoves(const std::vector<OwnerTarget>& targets,
-                                   const std::map<ShardId, UpstreamRef>& plan) {
+void GroupAuthority::PlanMoves(const View& view, AuthorityOutput& output) {
+  if (!view.input.has_log_contact) return;
+  const Plan plan = this->MakePlan(view);
+  if (plan.targets.empty()) return;
+  this->RetargetMoves(plan);
+  for (const auto& [shard, state] : view.shards) {
+    if (this->moves.contains(shard)) continue;
+    this->ConsiderShard(view, shard, state, plan);
+  }
+  this->AppendProvenMoves(view, plan, output);
+}
+
+void GroupAuthority::RetargetMoves(const Plan& plan) {
   for (auto entry = this->moves.begin(); entry != this->moves.end();) {
     auto& [shard, move] = *entry;
-    if (move.is_reported || IsTarget(targets, move.to)) {
+    if (move.is_reported || IsTarget(plan.targets, move.to)) {
       ++entry;
       continue;
     }
-    move.to = plan.at(shard);
+    move.to = plan.wanted.at(shard);
     const bool is_needless = move.from == move.to && !move.append_again_at;
     entry = is_needless ? this->moves.erase(entry) : std::next(entry);
   }
 }
 
 void GroupAuthority::ConsiderShard(const View& view, ShardId shard,
-                                   const ShardState& state,
-                                   const UpstreamRef& wanted,
-                                   bool can_rebalance) {
+                                   const ShardState& state, const Plan& plan) {
   if (this->NeedsSuccessorRule(view, shard, state)) {
     this->ConsiderUnsettled(view, shard, state);
     return;
   }
+  const UpstreamRef& wanted = plan.wanted.at(shard);
   if (state.owner == wanted) return;
   Move move{state.owner, wanted, Cause::kOwnerLost, state.changed_at, view.now,
             false,       {}};
-  if (!state.owner) {
-    move.cause = FirstCause(*view.service, shard);
-    this->moves.emplace(shard, std::move(move));
+  if (state.owner) {
+    this->ConsiderOwner(view, shard, std::move(move), plan);
     return;
   }
-  this->ConsiderOwner(view, shard, std::move(move), can_rebalance);
+  // Waits for all upstreams to answer, or else the first one gets all shards.
+  if (!plan.is_complete) return;
+  move.cause = FirstCause(*view.service, shard);
+  this->moves.emplace(shard, std::move(move));
 }
 
 void GroupAuthority::ConsiderUnsettled(const View& view, ShardId shard,
@@ -126,7 +131,7 @@
 }
 
 void GroupAuthority::ConsiderOwner(const View& view, ShardId shard, Move move,
-                                   bool can_rebalance) {
+                                   const Plan& plan) {
   if (!this->IsReachable(*move.from)) {
     const auto proof = this->FindProof(view, shard, move);
     if (!proof) return;
@@ -140,7 +145,7 @@
   }
   // A leaving owner takes no work, so its shards do not wait for the budget.
   if (this->IsLive(view, link)) {
-    if (!can_rebalance || !this->TakeMoveBudget(view)) return;
+    if (!plan.can_rebalance || !this->TakeMoveBudget(view)) return;
     move.cause = Cause::kRebalance;
   } else {
     move.cause = Cause::kOwnerLeaving;
@@ -160,13 +165,12 @@
   return true;
 }
 
-void GroupAuthority::AppendProvenMoves(const View& view,
-                                       const std::vector<OwnerTarget>& targets,
+void GroupAuthority::AppendProvenMoves(const View& view, const Plan& plan,
                                        AuthorityOutput& output) {
   std::map<std::pair<Cause, Proof>, ShardsAssigned> batches;
   for (auto& [shard, move] : this->moves) {
     if (move.append_again_at && view.now < *move.append_again_at) continue;
-    if (!move.is_reported && !IsTarget(targets, move.to)) continue;
+    if (!move.is_reported && !IsTarget(plan.targets, move.to)) continue;
     const auto proof = this->FindProof(view, shard, move);
     if (!proof) continue;
     move.append_again_at = view.now + kAppendAgain;
--- /dev/null
+++ b/unittests/upstream/fuzz_script.cc
@@ -0,0 +1,194 @@
+#include "upstream/fuzz_script.h"
+
+#include <array>
+#include <string_view>
+
+namespace bamboorack::upstream {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A world and the numbers of one step.
+struct StepTarget {
+  SimulatedWorld& world;
+  const FuzzStep& step;
+
+  int Daemon() const {
+    return static_cast<int>(this->step.first % this->world.DaemonCount());
+  }
+  /// The daemon with the authority in three of four steps, as faults of the
+  /// others matter less.
+  int LikelyAuthority() const {
+    const int authority = this->world.Authority();
+    const bool is_any = this->step.second % 4 == 0 || authority < 0;
+    return is_any ? this->Daemon() : authority;
+  }
+  int Upstream() const {
+    return static_cast<int>(this->step.second % this->world.UpstreamCount());
+  }
+  bool Flag() const { return this->step.first % 4 != 0; }
+
+  void Pause() { this->world.PauseDaemon(this->LikelyAuthority()); }
+  void PauseWithCallsSent() {
+    const int daemon = this->LikelyAuthority();
+    this->world.HoldCalls(daemon, true);
+    this->world.Run(milliseconds(this->step.first % 300));
+    this->world.PauseDaemon(daemon);
+  }
+  void Resume() {
+    const int daemon = this->Daemon();
+    if (this->step.second % 2 == 0) this->world.HoldCalls(daemon, false);
+    this->world.ResumeDaemon(daemon);
+    this->world.HoldCalls(daemon, false);
+  }
+  void RestartDaemon() { this->world.RestartDaemon(this->LikelyAuthority()); }
+  void StopDaemon() {
+    const int daemon = this->LikelyAuthority();
+    this->world.StopDaemon(daemon);
+    this->world.Run(milliseconds(this->step.first % 700));
+    this->world.RestartDaemon(daemon);
+  }
+  void Freeze() { this->world.FreezeUpstream(this->Upstream()); }
+  void Thaw() { this->world.ThawUpstream(this->Upstream()); }
+  void Kill() { this->world.KillUpstream(this->Upstream()); }
+  void Replace() { this->world.ReplaceUpstream(this->Upstream()); }
+  void Restart() { this->world.RestartUpstream(this->Upstream()); }
+  void SetDraining() {
+    this->world.SetDraining(this->Upstream(), this->Flag());
+  }
+  void CutUpstream() {
+    this->world.CutDaemonFromUpstream(this->Daemon(), this->Upstream(),
+                                      this->Flag());
+  }
+  void CutAuthority() {
+    const int authority = this->world.Authority();
+    if (authority < 0) return;
+    this->world.CutDaemonFromUpstream(authority, this->Upstream(), true);
+  }
+  void CutDaemons() {
+    const int first = this->Daemon();
+    const int count = this->world.DaemonCount();
+    const int second =
+        (first + 1 + static_cast<int>(this->step.second) % (count - 1)) % count;
+    this->world.CutDaemons(first, second, this->Flag());
+  }
+  void IsolateAuthority() {
+    const int authority = this->world.Authority();
+    for (int i = 0; i < this->world.DaemonCount() && authority >= 0; ++i) {
+      if (i != authority) this->world.CutDaemons(i, authority, true);
+    }
+    if (authority >= 0 && this->Flag()) {
+      this->world.CutDaemonFromLog(authority, true);
+    }
+  }
+  void ReconnectDaemons() {
+    const int daemon = this->Daemon();
+    this->world.CutDaemonFromLog(daemon, false);
+    for (int i = 0; i < this->world.DaemonCount(); ++i) {
+      if (i != daemon) this->world.CutDaemons(i, daemon, false);
+    }
+    for (int i = 0; i < this->world.UpstreamCount(); ++i) {
+      this->world.CutDaemonFromUpstream(daemon, i, false);
+    }
+  }
+  void CutLog() { this->world.CutDaemonFromLog(this->Daemon(), this->Flag()); }
+  void CutAllFromLog() {
+    for (int i = 0; i < this->world.DaemonCount(); ++i) {
+      this->world.CutDaemonFromLog(i, this->Flag());
+    }
+  }
+  void SetNetwork() {
+    constexpr std::array<milliseconds, 4> kDelays = {
+        milliseconds(2), milliseconds(20), milliseconds(150),
+        milliseconds(600)};
+    const int loss = static_cast<int>(this->step.second % 4) * 8;
+    this->world.SetNetwork(
+        {kDelays.at(this->step.first % kDelays.size()), loss, loss});
+  }
+  void SetVmListLag() {
+    this->world.SetVmListLag(milliseconds(this->step.first % 5 * 1000));
+  }
+  void PublishDrain() {
+    this->world.PublishDrain(this->Upstream(), this->Flag());
+  }
+  void PublishWeight() {
+    this->world.PublishWeight(this->Upstream(), 1.0 + this->step.first % 4);
+  }
+  void DeclareGone() { this->world.DeclareGone(); }
+  void HoldCalls() { this->world.HoldCalls(this->Daemon(), this->Flag()); }
+  void Wait() {}
+};
+
+struct StepKind {
+  std::string_view name;
+  void (StepTarget::*run)();
+};
+
+constexpr std::array kKinds = {
+    StepKind{"pause the authority", &StepTarget::Pause},
+    StepKind{"pause with calls in the send buffer",
+             &StepTarget::PauseWithCallsSent},
+    StepKind{"resume", &StepTarget::Resume},
+    StepKind{"resume", &StepTarget::Resume},
+    StepKind{"restart daemon", &StepTarget::RestartDaemon},
+    StepKind{"hand over and restart", &StepTarget::StopDaemon},
+    StepKind{"freeze upstream", &StepTarget::Freeze},
+    StepKind{"thaw upstream", &StepTarget::Thaw},
+    StepKind{"thaw upstream", &StepTarget::Thaw},
+    StepKind{"kill upstream", &StepTarget::Kill},
+    StepKind{"replace upstream", &StepTarget::Replace},
+    StepKind{"restart upstream", &StepTarget::Restart},
+    StepKind{"upstream drains or not", &StepTarget::SetDraining},
+    StepKind{"cut daemon from upstream or not", &StepTarget::CutUpstream},
+    StepKind{"cut the authority from upstream", &StepTarget::CutAuthority},
+    StepKind{"cut daemons or not", &StepTarget::CutDaemons},
+    StepKind{"isolate the authority", &StepTarget::IsolateAuthority},
+    StepKind{"reconnect daemon", &StepTarget::ReconnectDaemons},
+    StepKind{"reconnect daemon", &StepTarget::ReconnectDaemons},
+    StepKind{"cut daemon from the log or not", &StepTarget::CutLog},
+    StepKind{"cut all from the log or not", &StepTarget::CutAllFromLog},
+    StepKind{"set network", &StepTarget::SetNetwork},
+    StepKind{"set VM list lag", &StepTarget::SetVmListLag},
+    StepKind{"publish drain", &StepTarget::PublishDrain},
+    StepKind{"publish weight", &StepTarget::PublishWeight},
+    StepKind{"declare gone instances lost", &StepTarget::DeclareGone},
+    StepKind{"hold calls or not", &StepTarget::HoldCalls},
+    StepKind{"wait", &StepTarget::Wait},
+};
+
+rc::Gen<FuzzStep> GenStep() {
+  // Short waits hit the middle of a procedure, long ones outlast a lease.
+  const auto wait =
+      rc::gen::oneOf(rc::gen::inRange(0, 300), rc::gen::inRange(300, 2500));
+  return rc::gen::map(
+      rc::gen::tuple(rc::gen::inRange<std::size_t>(0, kKinds.size()),
+                     rc::gen::inRange<std::uint32_t>(0, 1000),
+                     rc::gen::inRange<std::uint32_t>(0, 1000), wait),
+      [](const auto& parts) {
+        const auto& [kind, first, second, milliseconds_to_wait] = parts;
+        return FuzzStep{kind, first, second,
+                        milliseconds(milliseconds_to_wait)};
+      });
+}
+
+}  // namespace
+
+std::ostream& operator<<(std::ostream& out, const FuzzStep& step) {
+  return out << '{' << kKinds.at(step.kind).name << ", " << step.first << ", "
+             << step.second << ", " << step.wait.count() << " ms}";
+}
+
+rc::Gen<Script> GenScript() { return rc::gen::container<Script>(GenStep()); }
+
+void RunScript(SimulatedWorld& world, const Script& script) {
+  world.RunUntil([&world] { return world.IsServingAll(); },
+                 std::chrono::seconds(3));
+  for (const FuzzStep& step : script) {
+    if (!world.Violation().empty()) return;
+    StepTarget target{world, step};
+    (target.*kKinds.at(step.kind).run)();
+    world.Run(step.wait);
+  }
+}
+
+}  // namespace bamboorack::upstream
--- /dev/null
+++ b/unittests/upstream/ownership_basic_test.cc
@@ -0,0 +1,63 @@
+#include <catch2/catch.hpp>
+
+#include "upstream/simulated_world.h"
+
+namespace bamboorack::upstream {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+SCENARIO("a group never starts to serve") {
+  WorldOptions options;
+  options.checks_tokens = GENERATE(true, false);
+  options.on_log_loss = GENERATE(OnLogLoss::kKeepServing, OnLogLoss::kStop);
+  SimulatedWorld world(options);
+  CAPTURE(options.checks_tokens, static_cast<int>(options.on_log_loss));
+  GIVEN("daemons and upstreams without faults") {
+    THEN("all shards are granted within two seconds") {
+      const bool is_serving =
+          world.RunUntil([&] { return world.IsServingAll(); }, seconds(2));
+      CHECK(world.Violation() == "");
+      CHECK(is_serving);
+    }
+  }
+}
+
+SCENARIO("a shard stays unserved after a loss") {
+  WorldOptions options;
+  options.checks_tokens = GENERATE(true, false);
+  SimulatedWorld world(options);
+  CAPTURE(options.checks_tokens);
+  GIVEN("a group that serves") {
+    REQUIRE(world.RunUntil([&] { return world.IsServingAll(); }, seconds(2)));
+    world.Run(seconds(1));
+    REQUIRE(world.IsServingAll());
+    WHEN("an upstream freezes") {
+      const int owner = world.IndexOf(*world.OwnerOf(ShardId(0)));
+      const TrueTime start = world.Now();
+      world.FreezeUpstream(owner);
+      THEN("its shards are served by others within two seconds") {
+        CHECK(world.RunUntil([&] { return world.IsServingAll(); }, seconds(3)));
+        CHECK(world.Violation() == "");
+        CHECK(world.Now() - start < seconds(2));
+      }
+    }
+    WHEN("the authority's daemon pauses") {
+      const int first = world.Authority();
+      const TrueTime start = world.Now();
+      world.PauseDaemon(first);
+      THEN("another daemon takes over and no shard moves") {
+        const LogOffset head = world.Head().next_offset;
+        CHECK(world.RunUntil([&] { return world.IsServingAll(); }, seconds(3)));
+        CHECK(world.Violation() == "");
+        CHECK(world.Authority() != first);
+        CHECK(world.MovesSince(head).empty());
+        CHECK(world.Now() - start < seconds(2));
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace bamboorack::upstream
--- /dev/null
+++ b/unittests/upstream/simulated_daemon.h
@@ -0,0 +1,82 @@
+#ifndef BAMBOORACK_UNITTESTS_UPSTREAM_SIMULATED_DAEMON_H_
+#define BAMBOORACK_UNITTESTS_UPSTREAM_SIMULATED_DAEMON_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "bamboorack/upstream/authority_election.h"
+#include "bamboorack/upstream/group_authority.h"
+#include "upstream/simulated_log.h"
+#include "upstream/simulated_upstream.h"
+
+namespace bamboorack::upstream {
+
+/// What a daemon wants to send.
+struct DaemonOutput {
+  std::vector<ControlCall> calls;
+  std::vector<Record> appends;
+  std::vector<DaemonId> heartbeats;
+};
+
+/// The control thread of one daemon without its input and output. All times
+/// are on its own clock.
+class SimulatedDaemon {
+ public:
+  SimulatedDaemon(DaemonId id, int start, GroupId group,
+                  const OwnershipRules& rules);
+
+  DaemonOutput Tick(MonotonicTime now);
+  DaemonOutput OnControlResult(const ControlResult& result, MonotonicTime now);
+  /// The log answered a read sent at `sent_at` with all records up to `count`.
+  /// Returns false if this reader differs from others.
+  bool OnRead(const SimulatedLog& log, std::size_t count, MonotonicTime sent_at,
+              MonotonicTime now);
+  void OnHeartbeat(const DaemonId& from, MonotonicTime now);
+  /// The VM list requested at `sent_at` has these VMs, with their instances.
+  void OnVmList(const std::map<VmId, std::string>& vms, MonotonicTime sent_at);
+  /// Begins a planned stop.
+  DaemonOutput Stop(MonotonicTime now);
+
+  /// The upstream that this daemon may send work on `shard` to at `now`.
+  std::optional<UpstreamRef> SendsTo(ShardId shard, MonotonicTime now) const;
+  /// Whether this daemon holds the authority, as far as it knows.
+  bool HasAuthority() const { return this->authority.has_value(); }
+  const DaemonId& Id() const { return this->id; }
+  const ClusterState& State() const { return this->reader.state; }
+
+ private:
+  AuthorityInput Input(MonotonicTime now) const;
+  void UpdateAuthority(MonotonicTime now);
+  DaemonOutput Take(AuthorityOutput output);
+  void PublishTable(MonotonicTime now);
+  RecordId NextRecordId();
+
+  DaemonId id;
+  DaemonInstance instance;
+  GroupId group;
+  const OwnershipRules& rules;
+  int next_record = 0;
+  ControlCallId next_call;
+  LogReader reader;
+  MonotonicTime head_contact;
+  bool has_read = false;
+  MembershipView membership;
+  std::map<VmId, std::string> listed;
+  std::map<UpstreamRef, MonotonicTime> known_since;
+  std::map<DaemonId, MonotonicTime> last_heard;
+  bool is_stopping = false;
+  FencingToken last_token;
+  std::unique_ptr<AuthorityElection> election;
+  std::optional<GroupAuthority> authority;
+  RoutingTable table;
+};
+
+}  // namespace bamboorack::upstream
+
+#endif  // BAMBOORACK_UNITTESTS_UPSTREAM_SIMULATED_DAEMON_H_
