--- a/unittests/upstream/simulated_log.cc
+++ b/unittests/upstream/simulated_log.cc
@@ -84,7 +84,7 @@
 
 Verdict SimulatedLog::Append(const Record& record) {
   this->records.push_back(
-      {LogOffset(this->records.size() + 1), WallTime(), record});
+      {LogOffset(this->records.size() + 1), this->wall_time, record});
   const Verdict verdict = this->head.Apply(this->records.back());
   this->history.push_back(OwnersOf(this->head.state));
   return verdict;
--- a/unittests/upstream/simulated_log.h
+++ b/unittests/upstream/simulated_log.h
@@ -25,6 +25,8 @@
 struct SimulatedLog {
   std::vector<LogRecord> records;
   LogReader head;
+  /// The log's wall clock.
+  WallTime wall_time;
   /// Owners of all shards of all services after each record, to compare
   /// slower readers with.
   std::vector<std::vector<std::optional<UpstreamRef>>> history;
--- a/unittests/upstream/simulated_world.h
+++ b/unittests/upstream/simulated_world.h
@@ -78,6 +78,7 @@
   void DeclareGone();
   /// The list leaves out the VM of a live upstream, or shows it again.
   void HideFromVmList(int upstream, bool is_hidden);
+  void StepWallClock(std::chrono::hours step) { this->log.wall_time += step; }
   void SetVmListLag(std::chrono::milliseconds lag) { this->list_lag = lag; }
   void SetNetwork(const Network& new_network) { this->network = new_network; }
   /// Ends all faults; instances that are gone are declared lost.
