--- a/include/bamboorack/operator/explain.h
+++ b/include/bamboorack/operator/explain.h
@@ -94,7 +94,8 @@
   explicit Explainer(KeyQuestion asked);
 
   /// Call for each record in log order, after the fold judged it. `after` is
-  /// the fold's state including the record.
+  /// the fold's state including the record. A fold that starts from a snapshot
+  /// is observed with a piece of it as the record.
   void Observe(const LogRecord& record, Verdict verdict,
                const ClusterState& after);
 
--- a/lib/operator/diff.cc
+++ b/lib/operator/diff.cc
@@ -2,6 +2,7 @@
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
+#include <Poco/JSON/ParseHandler.h>
 #include <Poco/JSON/Parser.h>
 
 #include <map>
@@ -99,8 +100,8 @@
 std::vector<DiffEntry> DiffDocuments(const std::string& before,
                                      const std::string& after) {
   Comparison comparison;
-  Poco::JSON::Parser old_parser;
-  Poco::JSON::Parser new_parser;
+  Poco::JSON::Parser old_parser(new Poco::JSON::ParseHandler(true));
+  Poco::JSON::Parser new_parser(new Poco::JSON::ParseHandler(true));
   comparison.Compare("", old_parser.parse(before), new_parser.parse(after));
   return std::move(comparison.entries);
 }
--- a/lib/operator/explain.cc
+++ b/lib/operator/explain.cc
@@ -37,7 +37,13 @@
   entry.rules_revision = after.rules_revision;
   std::visit([&](const auto& body) { this->Note(body, entry); },
              record.record.body);
-  if (verdict == Verdict::kAccepted) this->TrackPlace(after, std::move(entry));
+  if (verdict != Verdict::kAccepted) return;
+  if (std::holds_alternative<SnapshotPiece>(record.record.body)) {
+    for (const auto& [group, authority] : after.authorities) {
+      this->authorities[group] = authority.daemon;
+    }
+  }
+  this->TrackPlace(after, std::move(entry));
 }
 
 Explainer::Place Explainer::FindPlace(const ClusterState& state) const {
--- a/lib/operator/operator_server.cc
+++ b/lib/operator/operator_server.cc
@@ -275,16 +275,17 @@
                MakeConnectionLimits(context.metrics, limits)),
         server(new HandlerFactory(context), this->pool, this->socket,
                MakeParams(limits)) {
+    const Poco::Net::SocketAddress address = this->socket.address();
+    this->bound = Endpoint{address.host().toString(), address.port()};
     this->server.start();
   }
 
-  Endpoint Bound() const {
-    const Poco::Net::SocketAddress address = this->socket.address();
-    return Endpoint{address.host().toString(), address.port()};
-  }
+  const Endpoint& Bound() const { return this->bound; }
 
   void Stop() {
     this->server.stopAll(true);
+    // Ends the connections that the kernel accepted but no thread has taken.
+    this->socket.close();
     this->pool.joinAll();
   }
 
@@ -292,6 +293,7 @@
   Poco::ThreadPool pool;
   LimitedServerSocket socket;
   Poco::Net::HTTPServer server;
+  Endpoint bound;
 };
 
 OperatorServer::OperatorServer(std::unique_ptr<Listener> opened)
