caller: keep idle connections for 500 ms during a stop

Cause: a caller that sends just as its idle connection is closed gets no answer. Change: idle connections stay open for a grace period; the next answer asks the caller to close.

--- a/include/bamboorack/caller/caller_thread.h
+++ b/include/bamboorack/caller/caller_thread.h
@@ -54,7 +54,7 @@
   /// Returns the port that the listener is bound to, 0 before `Start`.
   std::uint16_t Port() const;
 
-  /// Stops accepting connections and closes those that are idle. A request
+  /// Stops accepting connections and closes those that stay idle. A request
   /// whose first byte has arrived is still served; its connection is then
   /// closed. Does not wait.
   void BeginStop();
--- a/lib/caller/caller_reactor.cc
+++ b/lib/caller/caller_reactor.cc
@@ -23,6 +23,9 @@
 using std::chrono::steady_clock;
 using IoStatus = HttpConnection::IoStatus;
 
+// An idle connection stays open this long during a stop: its caller may just
+// be sending a request, whose answer then tells it to close the connection.
+constexpr std::chrono::milliseconds kStopGrace{500};
 constexpr int kBacklog = 1024;
 // Bound the work of one turn, so that answers and new connections cannot
 // starve each other.
@@ -250,8 +253,7 @@
     this->SetTimeout(connection, this->settings.head_timeout);
     return Step::kAgain;
   }
-  return connection.peer_closed || this->is_stopping ? Step::kClose
-                                                     : Step::kWait;
+  return connection.peer_closed ? Step::kClose : Step::kWait;
 }
 
 CallerReactor::Step CallerReactor::AdvanceHead(Connection& connection) {
@@ -490,6 +492,10 @@
     event.key = key;
     this->Handle(event);
   }
+  for (const auto& [key, connection] : this->connections) {
+    if (connection->phase != Phase::kIdle) continue;
+    this->SetTimeout(*connection, kStopGrace);
+  }
   LOG(INFO) << "callers=stopping connections=" << this->connections.size();
 }
 
