upstream: fence settled requests by attempt, not by request id

Cause: settling an id before its first dispatch fenced the id for good, so every once-only request was refused for 10 minutes after a takeover, and also under the first authority of a group; and a planned stop found no successor, because only authorities sent heartbeats. Change: a dispatch carries its attempt (token, dispatch) and a settle call fences attempts up to its own; the first authority's memory is complete; candidates send heartbeats to the authority that they may succeed.

--- a/include/bamboorack/core/routing_table.h
+++ b/include/bamboorack/core/routing_table.h
@@ -38,6 +38,8 @@
   MonotonicTime taken_at;
   /// Nothing is dispatched after this time.
   MonotonicTime mandate_until = MonotonicTime::max();
+  /// False for the first authority of a group: no id was seen before it.
+  bool has_predecessor = true;
 };
 
 /// What the control thread lets the routing thread know. A table is never
--- a/include/bamboorack/upstream/authority_election.h
+++ b/include/bamboorack/upstream/authority_election.h
@@ -38,7 +38,8 @@
 
   /// Returns the daemons that need this daemon's heartbeats: for each group
   /// whose authority it holds, the first three candidates and the first one
-  /// outside the group's failure domain.
+  /// outside the group's failure domain; for each group that it is such a
+  /// candidate of, the authority, which hands over only to a live daemon.
   std::vector<DaemonId> HeartbeatTargets(const ClusterState& state) const;
 
   /// Returns the releases to append on a planned stop: for each group held, to
--- a/include/bamboorack/upstream/messages.h
+++ b/include/bamboorack/upstream/messages.h
@@ -45,9 +45,21 @@
   std::vector<ShardId> shards;
 };
 
-/// Asks what became of a request and, if it did not run, that it never will.
+/// One attempt to run a request. Later attempts compare greater: a successor
+/// has a higher token, and a daemon counts its dispatches upwards.
+struct Attempt {
+  FencingToken token;
+  DispatchId dispatch;
+
+  auto operator<=>(const Attempt&) const = default;
+};
+
+/// Asks what became of a request. If it did not run, the upstream refuses the
+/// attempts up to `fence_through`, which may still be on their way; a later
+/// attempt with the same request id may run.
 struct SettleCall {
   RequestId request;
+  Attempt fence_through;
   /// The instance that the request was or would be sent to. A replacement at
   /// the same address does not know what its predecessor ran, so another
   /// instance must answer `kOtherInstance`. Empty if any instance may answer.
--- a/lib/daemon/local_settle.cc
+++ b/lib/daemon/local_settle.cc
@@ -148,7 +148,10 @@
   out.actions.emplace_back(upstream::ControlCall{
       job.settle_call, target.id, *endpoint,
       std::min(job.request->deadline, now + kSettleTimeout),
-      upstream::SettleCall{job.request->id, target.instance}});
+      upstream::SettleCall{job.request->id,
+                           {this->groups.at(job.group).token,
+                            DispatchId(this->next_dispatch.value - 1)},
+                           target.instance}});
 }
 
 void LocalDispatcher::AskAgainLater(Job& job, MonotonicTime now,
--- a/lib/daemon/local_tables.cc
+++ b/lib/daemon/local_tables.cc
@@ -22,11 +22,14 @@
 void LocalDispatcher::UpdateGroups(MonotonicTime now) {
   for (const auto& [id, local] : this->table->local_groups) {
     const ServiceRules& rules = this->table->state->RulesOf(id.service);
+    const MonotonicTime complete_since = local.has_predecessor
+                                             ? local.taken_at
+                                             : local.taken_at - rules.id_memory;
     const auto found =
         this->groups
             .try_emplace(id, Group{local.token,
                                    upstream::OnceOnlyMemory(
-                                       local.taken_at, {rules.id_memory,
+                                       complete_since, {rules.id_memory,
                                                         this->once_only_bytes}),
                                    upstream::RetryBudget(rules.retry_share)})
             .first;
--- a/lib/upstream/authority_election.cc
+++ b/lib/upstream/authority_election.cc
@@ -176,9 +176,14 @@
   std::set<DaemonId> targets;
   for (const GroupId& group : state.Groups()) {
     const AuthorityState* authority = FindAuthority(state, group);
-    if (authority == nullptr || !this->Holds(*authority)) continue;
+    if (authority == nullptr || authority->token.value == 0) continue;
     const auto watchers = Watchers(state, group, authority);
-    targets.insert(watchers.begin(), watchers.end());
+    if (this->Holds(*authority)) {
+      targets.insert(watchers.begin(), watchers.end());
+    } else if (std::find(watchers.begin(), watchers.end(), this->self) !=
+               watchers.end()) {
+      targets.insert(authority->daemon);
+    }
   }
   return {targets.begin(), targets.end()};
 }
--- a/lib/upstream/group_authority.cc
+++ b/lib/upstream/group_authority.cc
@@ -185,7 +185,8 @@
   if (input.state.FindService(this->group.service) == nullptr) return;
   const View view = this->MakeView(input, MonotonicTime::min());
   table.local_groups[this->group] =
-      LocalGroup{this->token, this->taken_at, this->MandateEnd(view)};
+      LocalGroup{this->token, this->taken_at, this->MandateEnd(view),
+                 this->has_predecessor};
   for (const auto& [id, link] : this->links) {
     if (!link.instance) continue;
     table.local_upstreams[link.Ref()] =
--- a/lib/upstream/upstream_codec.cc
+++ b/lib/upstream/upstream_codec.cc
@@ -73,7 +73,10 @@
 
 Object EncodeSettle(const ControlRequest& request) {
   Object json;
-  json.set("request_id", std::get<SettleCall>(request).request.value);
+  const auto& settle = std::get<SettleCall>(request);
+  json.set("request_id", settle.request.value);
+  json.set("token", settle.fence_through.token.value);
+  json.set("dispatch", settle.fence_through.dispatch.value);
   return json;
 }
 
@@ -275,6 +278,7 @@
   AppendHeader(head, "X-Service", request.service.value);
   AppendHeader(head, "X-Shard", std::to_string(dispatch.shard.value));
   AppendHeader(head, "X-Token", std::to_string(dispatch.token.value));
+  AppendHeader(head, "X-Dispatch", std::to_string(dispatch.id.value));
   AppendHeader(head, "X-Instance", dispatch.upstream.instance.value);
   AppendHeader(
       head, "X-Deadline-Clock-Ms",
--- a/tools/fakes/upstream/ownership.h
+++ b/tools/fakes/upstream/ownership.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "bamboorack/core/time.h"
@@ -47,6 +48,8 @@
   std::string service;
   std::uint32_t shard = 0;
   std::uint64_t token = 0;
+  /// Counts the attempts under one token.
+  std::uint64_t dispatch = 0;
   std::string instance;
   UpstreamReading deadline;
   std::string request_id;
@@ -92,9 +95,9 @@
   bool HasPending(const std::string& group,
                   const std::vector<std::uint32_t>& shards) const;
 
-  /// Returns `done`, `running` or `not_run`. An id that did not run is fenced:
-  /// it is refused from now on.
-  std::string_view Settle(const std::string& request_id);
+  /// Returns `done`, `running` or `not_run`. Attempts of an id that did not run
+  /// are refused from now on, up to the one that `through` names.
+  std::string_view Settle(const RequestOrder& through);
   /// How often each request id ran.
   const std::map<std::string, int>& Runs() const { return this->runs; }
 
@@ -102,6 +105,7 @@
   std::optional<OrderError> CheckOrder(const Order& order);
   bool IsOwner(const RequestOrder& request, UpstreamReading now) const;
   bool HasStaleToken(const RequestOrder& request) const;
+  bool IsFenced(const RequestOrder& request) const;
   void EndPending(const RequestOrder& request);
 
   OwnershipSettings settings;
@@ -110,7 +114,8 @@
   std::map<std::string, int> runs;
   std::multiset<std::string> pending_ids;
   std::multiset<std::pair<std::string, std::uint32_t>> pending_shards;
-  std::set<std::string> fenced_ids;
+  /// The last refused attempt of each id: token and dispatch.
+  std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> fenced;
 };
 
 }  // namespace bamboorack::fakes
--- a/tools/fakes/upstream/upstream_server.cc
+++ b/tools/fakes/upstream/upstream_server.cc
@@ -66,6 +66,7 @@
   order.shard = static_cast<std::uint32_t>(NumberOf(request, "X-Shard"));
   order.token = NumberOf(request, "X-Token");
   order.instance = request.get("X-Instance", "");
+  order.dispatch = static_cast<std::uint64_t>(NumberOf(request, "X-Dispatch"));
   order.deadline =
       UpstreamReading(milliseconds(NumberOf(request, "X-Deadline-Clock-Ms")));
   order.request_id = request.get("X-Request-Id", "");
@@ -209,8 +210,11 @@
   if (!this->settings.can_settle) return {501, "{}", {}};
   const std::lock_guard lock(this->mutex);
   Json json;
-  json.set("state", std::string(this->ownership.Settle(
-                        body.getValue<std::string>("request_id"))));
+  RequestOrder through;
+  through.request_id = body.getValue<std::string>("request_id");
+  through.token = body.getValue<Poco::UInt64>("token");
+  through.dispatch = body.getValue<Poco::UInt64>("dispatch");
+  json.set("state", std::string(this->ownership.Settle(through)));
   return {200, TextOf(json), {}};
 }
 
--- a/unittests/daemon/router_world.h
+++ b/unittests/daemon/router_world.h
@@ -68,7 +68,7 @@
     std::size_t running = 0;
     std::multiset<ShardId> running_shards;
     std::map<RequestId, bool> ran_done;
-    std::map<RequestId, MonotonicTime> fenced;
+    std::map<RequestId, upstream::Attempt> fenced;
   };
   struct Daemon {
     DaemonId id;
