--- /dev/null
+++ b/include/bamboorack/daemon/control_duty.h
@@ -0,0 +1,112 @@
+#ifndef BAMBOORACK_DAEMON_CONTROL_DUTY_H_
+#define BAMBOORACK_DAEMON_CONTROL_DUTY_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bamboorack/core/ids.h"
+#include "bamboorack/core/metrics.h"
+#include "bamboorack/core/routing_table.h"
+#include "bamboorack/core/time.h"
+#include "bamboorack/daemon/log_follower.h"
+#include "bamboorack/daemon/rings.h"
+#include "bamboorack/operator/operator_server.h"
+#include "bamboorack/upstream/authority_election.h"
+#include "bamboorack/upstream/group_authority.h"
+#include "bamboorack/vm_list/membership.h"
+
+namespace bamboorack::daemon {
+
+/// Who this daemon is.
+struct DaemonIdentity {
+  DaemonId id;
+  DaemonInstance instance;
+};
+
+/// Decides on configuration, authority and ownership: takes what the log, the
+/// VM list, other daemons and upstreams say, and hands control calls, appends,
+/// heartbeats and routing tables to the other threads. It reads no clock.
+class ControlDuty {
+ public:
+  ControlDuty(DaemonIdentity daemon_identity,
+              std::chrono::milliseconds retention, Rings& all_rings,
+              operators::StatusHolder& status_holder, Metrics& registry,
+              std::function<RecordId()> record_ids);
+
+  /// Takes everything that waits in the control rings and decides. Call every
+  /// `kTickInterval` or sooner.
+  void Step(MonotonicTime now);
+
+  /// Begins a planned stop: hands every group over.
+  void BeginStop(MonotonicTime now);
+  /// Returns whether a planned stop has begun.
+  bool IsStopping() const {
+    return this->hand_over_until != MonotonicTime::max();
+  }
+  /// Returns whether all groups were handed over, or time for that ran out.
+  bool IsHandedOver(MonotonicTime now) const;
+
+  static constexpr std::chrono::milliseconds kTickInterval{50};
+
+ private:
+  struct Held {
+    std::uint64_t call_space = 0;
+    upstream::GroupAuthority authority;
+  };
+
+  using FromPeerHandler = void (ControlDuty::*)(peer::PeerToControl&,
+                                                MonotonicTime);
+
+  void TakeLog(MonotonicTime now);
+  void TakeVmLists();
+  void TakePeerMessages(MonotonicTime now);
+  void TakeControlResults(MonotonicTime now);
+  void TakeCommands(MonotonicTime now);
+  void OnPeerHeard(peer::PeerToControl& message, MonotonicTime now);
+  void OnStateRequested(peer::PeerToControl& message, MonotonicTime now);
+  void OnStateReceived(peer::PeerToControl& message, MonotonicTime now);
+
+  void NoteVerdict(const LogRecord& record, Verdict verdict, MonotonicTime now);
+  void NoteOwners(const ShardsAssigned& assigned, MonotonicTime now);
+  void SyncAuthorities(MonotonicTime now);
+  void SyncPeers();
+  void Elect(MonotonicTime now);
+  void SendHeartbeats(MonotonicTime now);
+  void RequestMissingState(MonotonicTime now);
+  upstream::AuthorityInput MakeInput(MonotonicTime now) const;
+  void CarryOut(upstream::AuthorityOutput output, MonotonicTime now);
+  void Append(Record record, MonotonicTime now);
+  void PublishTable(MonotonicTime now);
+  void PublishStatus(MonotonicTime now);
+  bool HoldsAnyGroup() const;
+  bool IsSnapshotWriter() const;
+  LogFollower::OnVerdict VerdictSink(MonotonicTime now);
+
+  DaemonIdentity identity;
+  Rings& rings;
+  operators::StatusHolder& status;
+  Metrics& metrics;
+  std::function<RecordId()> next_record_id;
+  LogFollower log;
+  vm_list::Membership membership;
+  upstream::AuthorityElection election;
+  std::map<GroupId, Held> held;
+  std::map<DaemonId, MonotonicTime> last_heard;
+  std::map<UpstreamRef, MonotonicTime> known_since;
+  std::map<DaemonId, Endpoint> peers;
+  std::shared_ptr<const ClusterState> shared_state;
+  Revision peers_revision;
+  std::uint64_t last_call_space = 0;
+  MonotonicTime next_heartbeat;
+  MonotonicTime next_status;
+  MonotonicTime next_state_request;
+  MonotonicTime hand_over_until = MonotonicTime::max();
+};
+
+}  // namespace bamboorack::daemon
+
+#endif  // BAMBOORACK_DAEMON_CONTROL_DUTY_H_
--- /dev/null
+++ b/lib/daemon/control_duty.cc
@@ -0,0 +1,322 @@
+#include "bamboorack/daemon/control_duty.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <variant>
+
+namespace bamboorack::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kStatusInterval{200};
+constexpr milliseconds kStateRequestInterval{500};
+// A record that is not in the log after this time is given up.
+constexpr milliseconds kAppendLimit{2000};
+// A planned stop waits this long for its successors.
+constexpr milliseconds kHandOverLimit{3000};
+// Ids of control calls are (space << 32) | number. Space 0 is the router's.
+constexpr unsigned kCallSpaceShift = 32;
+
+std::uint64_t SpaceOf(ControlCallId id) { return id.value >> kCallSpaceShift; }
+
+}  // namespace
+
+ControlDuty::ControlDuty(DaemonIdentity daemon_identity, milliseconds retention,
+                         Rings& all_rings,
+                         operators::StatusHolder& status_holder,
+                         Metrics& registry,
+                         std::function<RecordId()> record_ids)
+    : identity(std::move(daemon_identity)),
+      rings(all_rings),
+      status(status_holder),
+      metrics(registry),
+      next_record_id(std::move(record_ids)),
+      log(retention, registry),
+      election(this->identity.id, this->identity.instance,
+               this->next_record_id) {}
+
+void ControlDuty::Step(MonotonicTime now) {
+  this->TakeCommands(now);
+  this->TakeLog(now);
+  this->TakeVmLists();
+  this->TakePeerMessages(now);
+  this->TakeControlResults(now);
+  this->RequestMissingState(now);
+  if (this->log.HasState()) {
+    this->SyncPeers();
+    this->SyncAuthorities(now);
+    this->Elect(now);
+    for (auto& [group, held_group] : this->held) {
+      this->CarryOut(held_group.authority.Tick(this->MakeInput(now), now), now);
+    }
+    this->SendHeartbeats(now);
+    this->PublishTable(now);
+    auto piece = this->log.DueSnapshotPiece(this->IsSnapshotWriter(), now,
+                                            this->next_record_id);
+    if (piece) this->Append(std::move(*piece), now);
+  }
+  this->PublishStatus(now);
+}
+
+void ControlDuty::TakeCommands(MonotonicTime now) {
+  while (this->rings.operator_to_control.TryPop()) this->BeginStop(now);
+}
+
+void ControlDuty::TakeLog(MonotonicTime now) {
+  while (auto message = this->rings.log_to_control.TryPop()) {
+    this->log.OnMessage(*message, now, this->VerdictSink(now));
+  }
+}
+
+LogFollower::OnVerdict ControlDuty::VerdictSink(MonotonicTime now) {
+  return [this, now](const LogRecord& record, Verdict verdict) {
+    this->NoteVerdict(record, verdict, now);
+  };
+}
+
+void ControlDuty::NoteVerdict(const LogRecord& record, Verdict verdict,
+                              MonotonicTime now) {
+  if (verdict != Verdict::kAccepted) {
+    this->metrics.Count("records_" + std::string(NameOf(verdict)));
+    return;
+  }
+  this->metrics.Count("records_accepted");
+  if (const auto* taken = std::get_if<AuthorityTaken>(&record.record.body)) {
+    LOG(INFO) << "event=authority_taken group=" << taken->group
+              << " daemon=" << taken->daemon << " token=" << record.offset
+              << " cause=" << NameOf(taken->cause);
+  }
+  if (std::holds_alternative<InventoryPublished>(record.record.body)) {
+    LOG(INFO) << "event=inventory_in_force revision=" << record.offset;
+  }
+  if (std::holds_alternative<RulesPublished>(record.record.body)) {
+    LOG(INFO) << "event=rules_in_force revision=" << record.offset;
+  }
+  if (const auto* assigned = std::get_if<ShardsAssigned>(&record.record.body)) {
+    this->NoteOwners(*assigned, now);
+    LOG(INFO) << "event=shards_assigned group=" << assigned->group
+              << " token=" << assigned->token << " offset=" << record.offset
+              << " shards=" << assigned->changes.size()
+              << " cause=" << NameOf(assigned->cause)
+              << " proof=" << NameOf(assigned->proof);
+  }
+}
+
+void ControlDuty::NoteOwners(const ShardsAssigned& assigned,
+                             MonotonicTime now) {
+  for (const ShardChange& change : assigned.changes) {
+    if (change.to) this->known_since.emplace(*change.to, now);
+  }
+}
+
+void ControlDuty::TakeVmLists() {
+  while (auto message = this->rings.vm_list_to_control.TryPop()) {
+    const auto* list = std::get_if<vm_list::ListRead>(&*message);
+    if (list == nullptr) {
+      this->metrics.Count("vm_list_read_failures");
+      continue;
+    }
+    this->membership.OnList(*list);
+  }
+}
+
+void ControlDuty::TakePeerMessages(MonotonicTime now) {
+  // One row for each alternative of `PeerToControl`.
+  static constexpr std::array<FromPeerHandler,
+                              std::variant_size_v<peer::PeerToControl>>
+      kHandlers = {&ControlDuty::OnPeerHeard, &ControlDuty::OnStateRequested,
+                   &ControlDuty::OnStateReceived};
+  while (auto message = this->rings.peer_to_control.TryPop()) {
+    (this->*kHandlers.at(message->index()))(*message, now);
+  }
+}
+
+void ControlDuty::OnPeerHeard(peer::PeerToControl& message, MonotonicTime) {
+  const auto& heard = std::get<peer::PeerHeard>(message);
+  MonotonicTime& last = this->last_heard[heard.daemon];
+  last = std::max(last, heard.at);
+}
+
+void ControlDuty::OnStateRequested(peer::PeerToControl& message,
+                                   MonotonicTime) {
+  if (!this->log.HasState()) return;
+  peer::SendState state{std::get<peer::StateRequested>(message).from,
+                        this->log.State().next_offset,
+                        this->log.EncodedSnapshot()};
+  if (!this->rings.to_peer.TryPush(std::move(state))) {
+    this->metrics.Count("states_dropped");
+  }
+}
+
+void ControlDuty::OnStateReceived(peer::PeerToControl& message,
+                                  MonotonicTime now) {
+  const auto& received = std::get<peer::StateReceived>(message);
+  if (!this->log.OnPeerState(*received.body, this->VerdictSink(now))) return;
+  LOG(INFO) << "event=state_taken_from_peer peer=" << received.from
+            << " covers_before=" << received.covers_before;
+}
+
+void ControlDuty::RequestMissingState(MonotonicTime now) {
+  if (!this->log.NeedsPeerState(now) || now < this->next_state_request) return;
+  this->next_state_request = now + kStateRequestInterval;
+  for (const auto& [daemon, endpoint] : this->peers) {
+    if (!this->rings.to_peer.TryPush(peer::RequestState{daemon})) return;
+  }
+}
+
+void ControlDuty::TakeControlResults(MonotonicTime now) {
+  while (auto result = this->rings.upstream_to_control.TryPop()) {
+    for (auto& [group, held_group] : this->held) {
+      if (held_group.call_space != SpaceOf(result->id)) continue;
+      this->CarryOut(held_group.authority.OnControlResult(this->MakeInput(now),
+                                                          *result, now),
+                     now);
+    }
+  }
+}
+
+void ControlDuty::SyncPeers() {
+  const ClusterState& state = this->log.State();
+  if (state.inventory_revision == this->peers_revision) return;
+  std::map<DaemonId, Endpoint> wanted;
+  for (const DaemonEntry& daemon : state.inventory.daemons) {
+    if (daemon.id == this->identity.id) continue;
+    wanted.emplace(daemon.id, daemon.peer_endpoint);
+  }
+  if (!this->rings.to_peer.TryPush(peer::SetPeers{wanted})) return;
+  this->peers = std::move(wanted);
+  this->peers_revision = state.inventory_revision;
+}
+
+void ControlDuty::SyncAuthorities(MonotonicTime now) {
+  std::erase_if(this->held, [](const auto& entry) {
+    return entry.second.authority.IsSuperseded();
+  });
+  for (const auto& [group, authority] : this->log.State().authorities) {
+    const bool is_mine = authority.daemon == this->identity.id &&
+                         authority.daemon_instance == this->identity.instance &&
+                         authority.token.value != 0;
+    if (!is_mine || this->held.contains(group)) continue;
+    const std::uint64_t space = ++this->last_call_space;
+    this->held.emplace(
+        group, Held{space, upstream::GroupAuthority(
+                               group, this->identity.id, authority.token,
+                               this->log.HadAuthorityBefore(group), now,
+                               ControlCallId((space << kCallSpaceShift) + 1),
+                               this->next_record_id)});
+  }
+}
+
+void ControlDuty::Elect(MonotonicTime now) {
+  if (this->IsStopping()) return;
+  for (Record& record : this->election.Tick(this->log.State(), this->last_heard,
+                                            this->log.HasContact(now), now)) {
+    this->Append(std::move(record), now);
+  }
+}
+
+void ControlDuty::SendHeartbeats(MonotonicTime now) {
+  if (now < this->next_heartbeat) return;
+  this->next_heartbeat = now + upstream::kHeartbeatInterval;
+  const LogOffset position = this->log.State().next_offset;
+  for (const DaemonId& target :
+       this->election.HeartbeatTargets(this->log.State())) {
+    if (target == this->identity.id) continue;
+    if (!this->rings.to_peer.TryPush(peer::SendHeartbeat{target, position})) {
+      this->metrics.Count("heartbeats_dropped");
+    }
+  }
+}
+
+upstream::AuthorityInput ControlDuty::MakeInput(MonotonicTime now) const {
+  return upstream::AuthorityInput{this->log.State(), this->log.HeadContact(),
+                                  this->log.HasContact(now),
+                                  this->membership.View(), &this->known_since};
+}
+
+void ControlDuty::CarryOut(upstream::AuthorityOutput output,
+                           MonotonicTime now) {
+  for (upstream::ControlCall& call : output.calls) {
+    if (!this->rings.to_upstream.TryPush(std::move(call))) {
+      // The authority's own deadline for the call makes it try again.
+      this->metrics.Count("control_calls_dropped");
+    }
+  }
+  for (Record& record : output.appends) this->Append(std::move(record), now);
+}
+
+void ControlDuty::Append(Record record, MonotonicTime now) {
+  this->metrics.Count("appends");
+  log_service::AppendRequest request{std::move(record), now + kAppendLimit};
+  if (!this->rings.appends.TryPush(std::move(request))) {
+    this->metrics.Count("appends_dropped");
+  }
+}
+
+void ControlDuty::PublishTable(MonotonicTime now) {
+  if (this->log.TakeStateChanged() || this->shared_state == nullptr) {
+    this->shared_state =
+        std::make_shared<const ClusterState>(this->log.State());
+  }
+  auto table = std::make_shared<RoutingTable>();
+  table->state = this->shared_state;
+  const upstream::AuthorityInput input = this->MakeInput(now);
+  for (const auto& [group, held_group] : this->held) {
+    held_group.authority.FillTable(input, *table);
+  }
+  if (!this->rings.tables.TryPush(std::move(table))) {
+    this->metrics.Count("tables_dropped");
+  }
+}
+
+void ControlDuty::PublishStatus(MonotonicTime now) {
+  if (now < this->next_status) return;
+  this->next_status = now + kStatusInterval;
+  auto snapshot = std::make_shared<operators::StatusSnapshot>();
+  snapshot->daemon = this->identity.id;
+  snapshot->instance = this->identity.instance;
+  snapshot->taken_at = now;
+  snapshot->state = this->shared_state;
+  snapshot->peers_last_heard = this->last_heard;
+  for (const auto& [group, authority] : this->log.State().authorities) {
+    if (!this->held.contains(group)) continue;
+    snapshot->groups.push_back({group, authority.token});
+  }
+  this->status.Set(std::move(snapshot));
+}
+
+void ControlDuty::BeginStop(MonotonicTime now) {
+  if (this->IsStopping()) return;
+  this->hand_over_until = now + kHandOverLimit;
+  LOG(INFO) << "event=planned_stop groups=" << this->held.size();
+  for (Record& record :
+       this->election.ReleaseAll(this->log.State(), this->last_heard, now)) {
+    this->Append(std::move(record), now);
+  }
+}
+
+bool ControlDuty::HoldsAnyGroup() const {
+  const auto& authorities = this->log.State().authorities;
+  return std::any_of(
+      authorities.begin(), authorities.end(), [this](const auto& entry) {
+        return entry.second.daemon == this->identity.id &&
+               entry.second.daemon_instance == this->identity.instance;
+      });
+}
+
+bool ControlDuty::IsSnapshotWriter() const {
+  const auto& authorities = this->log.State().authorities;
+  return !authorities.empty() &&
+         this->held.contains(authorities.begin()->first);
+}
+
+bool ControlDuty::IsHandedOver(MonotonicTime now) const {
+  if (!this->IsStopping()) return false;
+  return !this->HoldsAnyGroup() || now >= this->hand_over_until;
+}
+
+}  // namespace bamboorack::daemon
--- /dev/null
+++ b/lib/daemon/log_follower.cc
@@ -0,0 +1,157 @@
+#include "bamboorack/daemon/log_follower.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "bamboorack/log_service/record_codec.h"
+
+namespace bamboorack::daemon {
+namespace {
+
+constexpr std::chrono::milliseconds kContactLimit{1000};
+
+}  // namespace
+
+LogFollower::LogFollower(std::chrono::milliseconds retention, Metrics& registry)
+    : metrics(registry), plan(retention) {}
+
+void LogFollower::OnMessage(const log_service::FromLog& message,
+                            MonotonicTime now, const OnVerdict& on_verdict) {
+  const auto* read = std::get_if<log_service::RecordsRead>(&message);
+  if (read == nullptr) {
+    this->metrics.Count("log_read_failures");
+    return;
+  }
+  this->last_answer = std::max(this->last_answer, now);
+  // Offsets start at 1, so a fresh state needs no snapshot for a whole log.
+  const LogOffset needed(
+      std::max<std::uint64_t>(this->fold.State().next_offset.value, 1));
+  if (read->first_kept > needed) this->EnterGap(read->first_kept);
+  bool has_new_snapshot = false;
+  for (const LogRecord& record : read->records) {
+    has_new_snapshot |= this->CollectPiece(record);
+    if (this->has_gap) {
+      this->waiting.push_back(record);
+    } else {
+      this->ApplyRecord(record, on_verdict);
+    }
+  }
+  if (this->has_gap) this->RecoverFromSnapshot(read->first_kept, on_verdict);
+  if (this->has_gap) return;
+  this->fold.AdvanceTo(read->next);
+  if (!read->reached_head) return;
+  if (has_new_snapshot) this->plan.OnComplete(now);
+  this->head_contact = std::max(this->head_contact, read->sent_at);
+  if (this->has_state) return;
+  this->has_state = true;
+  LOG(INFO) << "event=log_read_to_head next=" << read->next;
+}
+
+void LogFollower::EnterGap(LogOffset first_kept) {
+  if (this->has_gap) return;
+  this->has_gap = true;
+  LOG(WARNING) << "event=log_gap state_at=" << this->fold.State().next_offset
+               << " first_kept=" << first_kept;
+}
+
+bool LogFollower::CollectPiece(const LogRecord& record) {
+  const auto* piece = std::get_if<SnapshotPiece>(&record.record.body);
+  return piece != nullptr && this->assembler.Add(*piece);
+}
+
+void LogFollower::RecoverFromSnapshot(LogOffset first_kept,
+                                      const OnVerdict& on_verdict) {
+  const auto& newest = this->assembler.Newest();
+  if (!newest || this->assembler.GapBefore(first_kept)) return;
+  if (!this->OnPeerState(newest->text, on_verdict)) return;
+  LOG(INFO) << "event=state_taken_from_snapshot covers_before="
+            << newest->covers_before;
+}
+
+void LogFollower::ApplyWaiting(const OnVerdict& on_verdict) {
+  for (const LogRecord& record : std::exchange(this->waiting, {})) {
+    this->ApplyRecord(record, on_verdict);
+  }
+}
+
+void LogFollower::ApplyRecord(const LogRecord& record,
+                              const OnVerdict& on_verdict) {
+  const bool is_new = record.offset >= this->fold.State().next_offset;
+  const Verdict verdict = this->fold.Apply(record);
+  if (!is_new) return;
+  this->is_changed = true;
+  if (verdict == Verdict::kAccepted) this->NoteAuthority(record);
+  on_verdict(record, verdict);
+}
+
+std::optional<Record> LogFollower::DueSnapshotPiece(
+    bool is_writer, MonotonicTime now,
+    const std::function<RecordId()>& next_record_id) {
+  if (!is_writer || !this->has_state) {
+    this->plan.Cancel();
+    return std::nullopt;
+  }
+  if (!this->plan.IsWriting() && this->plan.IsDue(now)) {
+    const LogOffset covers_before = this->fold.State().next_offset;
+    if (!this->plan.Start(next_record_id(), covers_before,
+                          log_service::EncodeSnapshot(this->fold.Snapshot()),
+                          now)) {
+      this->metrics.Count("snapshots_too_large");
+    }
+  }
+  auto piece = this->plan.NextPiece(now);
+  if (!piece) return std::nullopt;
+  return Record{next_record_id(), std::move(*piece)};
+}
+
+void LogFollower::NoteAuthority(const LogRecord& record) {
+  const auto* taken = std::get_if<AuthorityTaken>(&record.record.body);
+  if (taken == nullptr) return;
+  this->had_authority[taken->group] = taken->base_token.value != 0;
+}
+
+bool LogFollower::OnPeerState(std::string_view text,
+                              const OnVerdict& on_verdict) {
+  auto snapshot = log_service::DecodeSnapshot(text);
+  if (!snapshot) {
+    this->metrics.Count("peer_states_malformed");
+    return false;
+  }
+  if (!this->fold.TakeOver(std::move(*snapshot))) {
+    this->metrics.Count("peer_states_refused");
+    return false;
+  }
+  this->is_changed = true;
+  this->has_gap = false;
+  this->has_state = true;
+  this->ApplyWaiting(on_verdict);
+  return true;
+}
+
+bool LogFollower::NeedsPeerState(MonotonicTime now) const {
+  return this->has_gap || (!this->has_state && !this->HasContact(now));
+}
+
+Body LogFollower::EncodedSnapshot() const {
+  return std::make_shared<const std::string>(
+      log_service::EncodeSnapshot(this->fold.Snapshot()));
+}
+
+bool LogFollower::TakeStateChanged() {
+  return std::exchange(this->is_changed, false);
+}
+
+bool LogFollower::HasContact(MonotonicTime now) const {
+  return now - this->last_answer < kContactLimit;
+}
+
+bool LogFollower::HadAuthorityBefore(const GroupId& group) const {
+  const auto found = this->had_authority.find(group);
+  // Without the record a predecessor has to be assumed.
+  return found == this->had_authority.end() || found->second;
+}
+
+}  // namespace bamboorack::daemon
--- /dev/null
+++ b/lib/daemon/routing_thread.cc
@@ -0,0 +1,155 @@
+#include "bamboorack/daemon/routing_thread.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <variant>
+
+namespace bamboorack::daemon {
+namespace {
+
+// Bounds the wait, so that a stop or a lost wake-up is noticed.
+constexpr std::chrono::milliseconds kLongestWait{100};
+// Items taken from one ring before the next ring gets its turn.
+constexpr int kItemsPerTurn = 64;
+
+}  // namespace
+
+RoutingThread::RoutingThread(const DaemonId& self, Rings& all_rings,
+                             Metrics& registry)
+    : rings(all_rings), metrics(registry), router(self, registry) {
+  const auto notify = [this] { this->wakeup.Notify(); };
+  this->rings.caller_to_routing.SetWaker(notify);
+  this->rings.peer_to_routing.SetWaker(notify);
+  this->rings.upstream_to_routing.SetWaker(notify);
+  this->rings.tables.SetWaker(notify);
+}
+
+RoutingThread::~RoutingThread() { this->Stop(); }
+
+void RoutingThread::Start() {
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void RoutingThread::BeginStop() {
+  this->must_begin_stop = true;
+  this->wakeup.Notify();
+}
+
+void RoutingThread::Stop() {
+  this->is_stopping = true;
+  this->wakeup.Notify();
+  if (this->thread.joinable()) this->thread.join();
+}
+
+void RoutingThread::Run() {
+  while (!this->is_stopping) {
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    if (this->must_begin_stop.exchange(false)) this->router.BeginStop();
+    const bool had_input = this->HandleInputs(now);
+    this->CarryOut(this->router.Tick(now), now);
+    this->is_idle = this->router.IsIdle();
+    if (had_input) continue;
+    this->wakeup.WaitUntil(
+        std::min(this->router.NextWakeup(), now + kLongestWait));
+  }
+}
+
+bool RoutingThread::HandleInputs(MonotonicTime now) {
+  bool had_input = false;
+  // Tables come first, so that requests meet the newest owners.
+  while (auto table = this->rings.tables.TryPop()) {
+    this->CarryOut(this->router.OnTable(std::move(*table), now), now);
+    had_input = true;
+  }
+  for (int i = 0; i < kItemsPerTurn; ++i) {
+    auto result = this->rings.upstream_to_routing.TryPop();
+    if (!result) break;
+    this->CarryOut(this->router.OnUpstream(std::move(*result), now), now);
+    had_input = true;
+  }
+  for (int i = 0; i < kItemsPerTurn; ++i) {
+    auto message = this->rings.peer_to_routing.TryPop();
+    if (!message) break;
+    this->CarryOut(this->router.OnPeer(std::move(*message), now), now);
+    had_input = true;
+  }
+  for (int i = 0; i < kItemsPerTurn; ++i) {
+    auto message = this->rings.caller_to_routing.TryPop();
+    if (!message) break;
+    this->CarryOut(this->router.OnCaller(std::move(*message), now), now);
+    had_input = true;
+  }
+  return had_input;
+}
+
+void RoutingThread::CarryOut(RouterActions actions, MonotonicTime now) {
+  // One row for each alternative of `RouterAction`.
+  static constexpr std::array<ActionHandler, std::variant_size_v<RouterAction>>
+      kHandlers = {
+          &RoutingThread::AnswerCaller,  &RoutingThread::Forward,
+          &RoutingThread::CancelForward, &RoutingThread::AnswerPeer,
+          &RoutingThread::Dispatch,      &RoutingThread::CancelDispatch,
+          &RoutingThread::Settle};
+  for (RouterAction& action : actions) {
+    (this->*kHandlers.at(action.index()))(action, now);
+  }
+}
+
+void RoutingThread::AnswerCaller(RouterAction& action, MonotonicTime) {
+  auto& answer = std::get<caller::ToCaller>(action);
+  if (!this->rings.routing_to_caller.TryPush(std::move(answer))) {
+    this->metrics.Count("caller_answers_dropped");
+  }
+}
+
+void RoutingThread::Forward(RouterAction& action, MonotonicTime now) {
+  auto& forward = std::get<peer::SendForward>(action);
+  const ForwardId id = forward.id;
+  if (this->rings.to_peer.TryPush(std::move(forward))) return;
+  this->CarryOut(this->router.OnPeer(
+                     peer::ForwardAnswered{id, NotRun(Reason::kRingFull)}, now),
+                 now);
+}
+
+void RoutingThread::CancelForward(RouterAction& action, MonotonicTime) {
+  auto& cancel = std::get<peer::SendCancel>(action);
+  if (!this->rings.to_peer.TryPush(std::move(cancel))) {
+    this->metrics.Count("cancels_dropped");
+  }
+}
+
+void RoutingThread::AnswerPeer(RouterAction& action, MonotonicTime) {
+  auto& answer = std::get<peer::SendAnswer>(action);
+  if (!this->rings.to_peer.TryPush(std::move(answer))) {
+    this->metrics.Count("peer_answers_dropped");
+  }
+}
+
+void RoutingThread::Dispatch(RouterAction& action, MonotonicTime now) {
+  auto& dispatch = std::get<upstream::Dispatch>(action);
+  const DispatchId id = dispatch.id;
+  if (this->rings.to_upstream.TryPush(std::move(dispatch))) return;
+  this->CarryOut(
+      this->router.OnUpstream(
+          upstream::DispatchResult{id, NotRun(Reason::kRingFull)}, now),
+      now);
+}
+
+void RoutingThread::CancelDispatch(RouterAction& action, MonotonicTime) {
+  auto& cancel = std::get<upstream::CancelDispatch>(action);
+  if (!this->rings.to_upstream.TryPush(std::move(cancel))) {
+    this->metrics.Count("cancels_dropped");
+  }
+}
+
+void RoutingThread::Settle(RouterAction& action, MonotonicTime now) {
+  auto& call = std::get<upstream::ControlCall>(action);
+  upstream::ControlResult refused{
+      call.id, call.upstream,
+      tl::make_unexpected(upstream::ControlError::kUnreachable)};
+  if (this->rings.to_upstream.TryPush(std::move(call))) return;
+  this->CarryOut(this->router.OnUpstream(std::move(refused), now), now);
+}
+
+}  // namespace bamboorack::daemon
