upstream: read the status of an answer without POCO's enumeration

The undefined behaviour sanitizer reported a load of status 999 from an enumeration that ends at 511. The status is now read from the status line, and the caller codec asks POCO only for the phrases that it has.

--- a/benchmarks/caller_path_bench.cc
+++ b/benchmarks/caller_path_bench.cc
@@ -202,6 +202,7 @@
   std::vector<RoundTrips> results(
       static_cast<std::size_t>(load.client_threads));
   std::vector<std::thread> clients;
+  clients.reserve(results.size());
   const auto begin = steady_clock::now();
   for (RoundTrips& result : results) {
     clients.emplace_back([&result, port, &load] {
--- a/lib/caller/caller_codec.cc
+++ b/lib/caller/caller_codec.cc
@@ -26,12 +26,17 @@
 // RFC 9110 forbids a body and a Content-Length for these.
 bool HasNoBody(int status) { return status < 200 || status == 204; }
 
-std::string StartHead(int status, Ending ending) {
+std::string ReasonPhrase(int status) {
   using Poco::Net::HTTPResponse;
+  // POCO's enumeration has no value above 511.
+  if (status < 100 || status > 511) return "Unknown";
+  return HTTPResponse::getReasonForStatus(
+      static_cast<HTTPResponse::HTTPStatus>(status));
+}
+
+std::string StartHead(int status, Ending ending) {
   std::string head = "HTTP/1.1 " + std::to_string(status) + ' ' +
-                     HTTPResponse::getReasonForStatus(
-                         static_cast<HTTPResponse::HTTPStatus>(status)) +
-                     "\r\n";
+                     ReasonPhrase(status) + "\r\n";
   AppendHeader(head, kOutcomeHeader, NameOf(ending));
   return head;
 }
--- a/lib/upstream/upstream_codec.cc
+++ b/lib/upstream/upstream_codec.cc
@@ -245,6 +245,20 @@
   return {std::move(head), std::make_shared<const std::string>(text.str())};
 }
 
+// POCO holds the status in an enumeration that has no value above 511, so its
+// `getStatus` must not be called for larger ones.
+std::optional<int> ParseStatus(std::string_view head) {
+  constexpr std::string_view kVersion = "HTTP/1.1 ";
+  if (head.size() < kVersion.size() + 4) return std::nullopt;
+  const auto status = ParseDecimal(head.substr(kVersion.size(), 3));
+  const char end = head[kVersion.size() + 3];
+  const bool is_whole = end == ' ' || end == '\r';
+  if (!status || !is_whole || *status < 100 || *status > 599) {
+    return std::nullopt;
+  }
+  return static_cast<int>(*status);
+}
+
 bool HasNoBody(int status) {
   return status < 200 || status == 204 || status == 304;
 }
@@ -303,13 +317,13 @@
   const auto parsed = ParseResponseHead(head);
   if (!parsed) return tl::make_unexpected(parsed.error());
   AnswerHead answer;
-  answer.status = parsed->getStatus();
   answer.headers = HeadersOf(*parsed);
   answer.keep_alive = parsed->getKeepAlive();
-  if (answer.status < 100 || answer.status > 599) {
-    return tl::make_unexpected("invalid status " +
-                               std::to_string(answer.status));
+  const auto status = ParseStatus(head);
+  if (!status) {
+    return tl::make_unexpected(std::string("status is not in 100 to 599"));
   }
+  answer.status = *status;
   if (answer.Find("Transfer-Encoding") != nullptr) {
     return tl::make_unexpected(std::string("Transfer-Encoding in the answer"));
   }
--- a/unittests/upstream/upstream_codec_test.cc
+++ b/unittests/upstream/upstream_codec_test.cc
@@ -92,6 +92,10 @@
       {"no status", "HTTP/1.1 OK\r\nContent-Length: 1\r\n\r\n", false},
       {"status out of range", "HTTP/1.1 999 X\r\nContent-Length: 1\r\n\r\n",
        false},
+      {"status of four digits", "HTTP/1.1 2000\r\nContent-Length: 1\r\n\r\n",
+       false},
+      {"status without a name of its own",
+       "HTTP/1.1 599\r\nContent-Length: 1\r\n\r\n", true},
       {"other protocol", "SSH-2.0-x\r\n\r\n", false},
   };
   for (const Row& row : rows) {
