--- a/include/bamboorack/upstream/upstream_reactor.h
+++ b/include/bamboorack/upstream/upstream_reactor.h
@@ -87,7 +87,7 @@
   };
 
   void TakeMessages();
-  bool IsDone(MonotonicTime stop_by) const;
+  bool IsDone(MonotonicTime stop_by);
   void AbandonAll();
   void HandleExpired(Key key);
 
--- a/lib/caller/caller_codec.cc
+++ b/lib/caller/caller_codec.cc
@@ -24,7 +24,9 @@
 }
 
 // RFC 9110 forbids a body and a Content-Length for these.
-bool HasNoBody(int status) { return status < 200 || status == 204; }
+bool HasNoBody(int status) {
+  return status < 200 || status == 204 || status == 304;
+}
 
 std::string ReasonPhrase(int status) {
   using Poco::Net::HTTPResponse;
--- a/lib/caller/caller_reactor.cc
+++ b/lib/caller/caller_reactor.cc
@@ -96,7 +96,9 @@
 }
 
 void CallerReactor::StopBy(MonotonicTime deadline) {
-  this->stop_deadline.store(deadline.time_since_epoch().count());
+  // The largest value means that no stop was asked for.
+  this->stop_deadline.store(
+      std::min(deadline.time_since_epoch().count(), kNoDeadline - 1));
   this->BeginStop();
 }
 
--- a/lib/upstream/upstream_reactor.cc
+++ b/lib/upstream/upstream_reactor.cc
@@ -60,7 +60,9 @@
 }
 
 void UpstreamReactor::StopBy(MonotonicTime deadline) {
-  this->stop_deadline.store(deadline.time_since_epoch().count());
+  // The largest value means that no stop was asked for.
+  this->stop_deadline.store(
+      std::min(deadline.time_since_epoch().count(), kNoDeadline - 1));
   this->poll->Wake();
 }
 
@@ -90,9 +92,9 @@
   this->AbandonAll();
 }
 
-bool UpstreamReactor::IsDone(MonotonicTime stop_by) const {
-  const bool is_quiet =
-      this->exchanging == 0 && this->waiting.empty() && this->in.Size() == 0;
+bool UpstreamReactor::IsDone(MonotonicTime stop_by) {
+  const bool is_quiet = this->exchanging == 0 && this->waiting.empty() &&
+                        this->in.Size() == 0 && this->outbox.Flush();
   return is_quiet || steady_clock::now() >= stop_by;
 }
 
--- a/tools/fakes/upstream/upstream_server.cc
+++ b/tools/fakes/upstream/upstream_server.cc
@@ -94,6 +94,7 @@
                                  {"/control/settle", &UpstreamServer::Settle},
                                  {"/control/cancel", &UpstreamServer::Cancel},
                                  {"/control/ran", &UpstreamServer::Ran},
+                                 {"/control/load", &UpstreamServer::Load},
                                  {"/fault", &UpstreamServer::SetFault}};
 
 UpstreamServer::UpstreamServer(const UpstreamSettings& server_settings)
@@ -228,6 +229,14 @@
   return {200, TextOf(json), {}};
 }
 
+UpstreamServer::Reply UpstreamServer::Load(const Json& /*body*/) {
+  const std::lock_guard lock(this->mutex);
+  Json json;
+  json.set("running", static_cast<Poco::UInt64>(this->running));
+  json.set("waiting", static_cast<Poco::UInt64>(this->waiting));
+  return {200, TextOf(json), {}};
+}
+
 UpstreamServer::Reply UpstreamServer::SetFault(const Json& body) {
   const std::lock_guard lock(this->mutex);
   this->faults.drain = body.optValue("drain", this->faults.drain);
--- a/tools/fakes/upstream/upstream_server.h
+++ b/tools/fakes/upstream/upstream_server.h
@@ -71,6 +71,7 @@
   Reply Settle(const Json& body);
   Reply Cancel(const Json& body);
   Reply Ran(const Json& body);
+  Reply Load(const Json& body);
   Reply SetFault(const Json& body);
   std::optional<Reply> RunRequest(Poco::Net::HTTPServerRequest& request,
                                   const std::string& body);
--- a/unittests/core/http_connection_test.cc
+++ b/unittests/core/http_connection_test.cc
@@ -45,6 +45,8 @@
       {"line without a colon", start + "A b\r\n\r\n", false},
       {"space before the colon", start + "A : b\r\n\r\n", false},
       {"folded line", start + "A: b\r\n c: d\r\n\r\n", false},
+      {"value that POCO does not take whole",
+       start + "A: " + std::string(9'000, 'a') + "\r\n\r\n", false},
       {"NUL", start + std::string("A: \0\r\n\r\n", 9), false},
       {"no start line", "\r\n\r\n", false},
       {"other version", "GET / HTTP/2.0\r\n\r\n", false},
--- a/unittests/support/raw_peer.h
+++ b/unittests/support/raw_peer.h
@@ -6,12 +6,13 @@
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
 
+#include <algorithm>
 #include <array>
-#include <catch2/catch.hpp>
 #include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "bamboorack/core/http_text.h"
 #include "bamboorack/core/time.h"
--- a/unittests/upstream/upstream_thread_test.cc
+++ b/unittests/upstream/upstream_thread_test.cc
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <variant>
 
@@ -357,8 +358,17 @@
     dispatch.send_before = steady_clock::now() - milliseconds(1);
     fixture.Push(std::move(dispatch));
   }
-  for (int i = 0; i < kRequests; ++i) {
-    CHECK(fixture.NextResult().id == DispatchId(static_cast<std::uint64_t>(i)));
+  const auto expect_all = [&fixture] {
+    for (int i = 0; i < kRequests; ++i) {
+      CHECK(fixture.NextResult().id ==
+            DispatchId(static_cast<std::uint64_t>(i)));
+    }
+  };
+  SECTION("while the thread serves") { expect_all(); }
+  SECTION("while the thread stops") {
+    std::thread stopper([&fixture] { fixture.thread->Stop(Soon()); });
+    expect_all();
+    stopper.join();
   }
 }
 
