daemon: let the router fuzz repeat results and skip tenures

Cause: two mutations of the router were not noticed: queued once-only work was sent under a later tenure without asking the upstream again, and a forwarded request was still known after its answer. Change: the world delivers one in twenty results twice, and a daemon that reads several changes of an authority at once sees only the last.

--- a/unittests/daemon/router_world.cc
+++ b/unittests/daemon/router_world.cc
@@ -36,6 +36,8 @@
   return (value ^ (value >> 31U)) % below;
 }
 
+std::uint64_t RouterWorld::Copies() { return this->Draw(20) == 0 ? 2 : 1; }
+
 milliseconds RouterWorld::Delay() {
   const std::uint64_t longest = this->Draw(20) == 0 ? 300 : this->max_delay_ms;
   return milliseconds(this->Draw(longest + 1));
@@ -163,11 +165,13 @@
   if (this->Draw(100) < this->loss_percent) {
     result = Unknown(Reason::kPeerLost);
   }
-  this->At(this->now + this->Delay(), [=, this] {
-    this->Call(target, generation, [=](Router& router, MonotonicTime at) {
-      return router.OnPeer(peer::ForwardAnswered{id, result}, at);
+  for (std::uint64_t copies = this->Copies(); copies > 0; --copies) {
+    this->At(this->now + this->Delay(), [=, this] {
+      this->Call(target, generation, [=](Router& router, MonotonicTime at) {
+        return router.OnPeer(peer::ForwardAnswered{id, result}, at);
+      });
     });
-  });
+  }
 }
 
 void RouterWorld::Do(std::size_t index, upstream::Dispatch&& action) {
--- a/unittests/daemon/router_world.h
+++ b/unittests/daemon/router_world.h
@@ -70,6 +70,12 @@
     std::map<RequestId, bool> ran_done;
     std::map<RequestId, MonotonicTime> fenced;
   };
+  struct Unread {
+    MonotonicTime arrives;
+    /// How many shards had changed their owner by then.
+    std::uint64_t moves = 0;
+    std::shared_ptr<const ClusterState> state;
+  };
   struct Daemon {
     DaemonId id;
     std::unique_ptr<Metrics> metrics;
@@ -80,8 +86,7 @@
     MonotonicTime unseen_move = MonotonicTime::min();
     std::shared_ptr<const ClusterState> known;
     /// States that were published but not yet read, with their time of arrival.
-    std::deque<std::pair<MonotonicTime, std::shared_ptr<const ClusterState>>>
-        unread;
+    std::deque<Unread> unread;
     std::shared_ptr<const RoutingTable> table;
     /// When it read each token that it holds or held.
     std::map<FencingToken, MonotonicTime> tenures;
@@ -116,6 +121,8 @@
   void Do(std::size_t index, upstream::ControlCall&& action);
   void Submit(std::size_t index, const Request& request);
   std::uint64_t Draw(std::uint64_t below);
+  /// Returns how often a message is delivered, at times twice.
+  std::uint64_t Copies();
   std::chrono::milliseconds Delay();
   std::size_t IndexOfDaemon(const DaemonId& id) const;
 
@@ -153,6 +160,7 @@
   MonotonicTime now;
   /// When a shard changed its owner last.
   MonotonicTime last_move = MonotonicTime::min();
+  std::uint64_t moves = 0;
   std::map<std::size_t, std::vector<std::uint64_t>> attempts_of;
   std::multimap<MonotonicTime, Handler> events;
   std::vector<Daemon> daemons;
--- a/unittests/daemon/router_world_control.cc
+++ b/unittests/daemon/router_world_control.cc
@@ -67,23 +67,28 @@
     const std::uint64_t longest = this->Draw(6) == 0 ? 2000 : 100;
     auto& unread = this->daemons[i].unread;
     MonotonicTime arrives = this->now + milliseconds(this->Draw(longest));
-    if (!unread.empty()) arrives = std::max(arrives, unread.back().first);
-    unread.emplace_back(arrives, state);
+    if (!unread.empty()) arrives = std::max(arrives, unread.back().arrives);
+    unread.push_back({arrives, this->moves, state});
     this->At(arrives, [this, i] { this->ReadStates(i); });
   }
 }
 
-// A daemon reads the states one by one, in the order of the log.
+// A daemon reads the states in the order of the log. It sees each change of an
+// owner; of several changes of an authority at once it sees the last.
 void RouterWorld::ReadStates(std::size_t index) {
   Daemon& daemon = this->daemons[index];
   if (daemon.paused_until > this->now) {
     this->At(daemon.paused_until, [this, index] { this->ReadStates(index); });
     return;
   }
-  while (!daemon.unread.empty() && daemon.unread.front().first <= this->now) {
-    const auto state = daemon.unread.front().second;
-    daemon.unread.pop_front();
-    this->Learn(index, state);
+  auto& unread = daemon.unread;
+  while (!unread.empty() && unread.front().arrives <= this->now) {
+    const Unread next = unread.front();
+    unread.pop_front();
+    const bool is_hidden = !unread.empty() &&
+                           unread.front().arrives <= this->now &&
+                           unread.front().moves == next.moves;
+    if (!is_hidden) this->Learn(index, next.state);
   }
 }
 
@@ -182,6 +187,7 @@
 
 void RouterWorld::AssignOwner(ShardId shard, const UpstreamRef& owner) {
   this->last_move = this->now;
+  ++this->moves;
   ShardState& state = this->truth.shards[kService][shard.value];
   state.owner = owner;
   state.changed_at = this->truth.next_offset;
--- a/unittests/daemon/router_world_upstreams.cc
+++ b/unittests/daemon/router_world_upstreams.cc
@@ -132,13 +132,15 @@
   const std::size_t index = sent->daemon;
   const DispatchId id = sent->dispatch.id;
   const UpstreamRef ref = sent->dispatch.upstream;
-  this->At(this->now, [=, this] {
-    this->Call(
-        index, sent->generation, [=, this](Router& router, MonotonicTime at) {
-          this->daemons[index].in_flight[ref].erase(id);
-          return router.OnUpstream(upstream::DispatchResult{id, result}, at);
-        });
-  });
+  for (std::uint64_t copies = this->Copies(); copies > 0; --copies) {
+    this->At(this->now, [=, this] {
+      this->Call(
+          index, sent->generation, [=, this](Router& router, MonotonicTime at) {
+            this->daemons[index].in_flight[ref].erase(id);
+            return router.OnUpstream(upstream::DispatchResult{id, result}, at);
+          });
+    });
+  }
 }
 
 upstream::ControlResult RouterWorld::SettleResult(
