upstream: keep an empty grant from voiding a conditional one

A successor that had no majority sent the owner a grant without its shards. That renewed the lease, so the later only_if_unexpired grant was accepted even if the predecessor's lease had expired. Such grants now wait, and once one was sent the claim is void. A declared upstream that never answered here now counts as gone.

--- a/include/bamboorack/upstream/group_authority.h
+++ b/include/bamboorack/upstream/group_authority.h
@@ -107,6 +107,8 @@
   struct GrantSet {
     std::vector<ShardId> shards;
     bool only_if_unexpired = false;
+    /// The upstream owns a shard by the log that may not be claimed yet.
+    bool leaves_out_claim = false;
   };
 
   using Shards = std::map<ShardId, ShardState>;
@@ -192,7 +194,7 @@
   bool NeedsSuccessorRule(const View& view, ShardId shard,
                           const ShardState& state) const;
   bool HasMajority() const;
-  bool IsProvenGone(const View& view, const UpstreamId& id) const;
+  bool IsProvenGone(const View& view, const UpstreamLink& link) const;
   bool AreOthersCleared(const View& view, ShardId shard,
                         const UpstreamRef& owner) const;
   void SettleShards(const View& view);
--- a/include/bamboorack/upstream/upstream_link.h
+++ b/include/bamboorack/upstream/upstream_link.h
@@ -29,6 +29,10 @@
   std::optional<MonotonicTime> last_answer;
   /// The instance acknowledged this authority's token.
   bool is_fenced = false;
+  /// The predecessor's lease was unexpired at the fence and no grant of this
+  /// authority has renewed it without the shards that need the successor rule.
+  /// Only then does an accepted `only_if_unexpired` grant prove anything.
+  bool can_claim = false;
   /// All leases that this authority may have given, or that the instance
   /// reported when it was fenced, are over after this time.
   MonotonicTime lease_end = MonotonicTime::min();
@@ -67,8 +71,6 @@
   bool is_leaving = false;
   /// Calls without a valid answer since the last one.
   int failures = 0;
-  /// The last `only_if_unexpired` grant was refused.
-  bool lease_was_expired = false;
   MonotonicTime next_call_at;
   /// The set of the last grant sent to `instance`; unset if there was none.
   std::optional<std::vector<ShardId>> sent_shards;
--- a/lib/upstream/control_results.cc
+++ b/lib/upstream/control_results.cc
@@ -48,9 +48,11 @@
 void GroupAuthority::NoteError(const View& view, UpstreamLink& link,
                                ControlError error) {
   if (error == ControlError::kLeaseExpired) {
-    link.lease_was_expired = true;
     link.failures = 0;
-    if (link.instance) this->HolderOf(view, link.Ref()).last_answer = view.now;
+    if (!link.instance) return;
+    Holder& holder = this->HolderOf(view, link.Ref());
+    holder.last_answer = view.now;
+    holder.can_claim = false;
     return;
   }
   ++link.failures;
@@ -62,7 +64,6 @@
                                   const UpstreamInstance& instance) {
   if (link.instance == instance) return;
   link.instance = instance;
-  link.lease_was_expired = false;
   link.sent_shards.reset();
   this->HolderOf(view, link.Ref());
 }
@@ -94,6 +95,7 @@
   Holder& holder =
       this->NoteReading(view, link, fence.reading, fence.is_draining);
   holder.is_fenced = true;
+  holder.can_claim = !fence.lease_expired;
   // A set whose lease has expired is no evidence of ownership: an upstream
   // that was frozen keeps the set that it had before its shards moved.
   if (fence.lease_expired) return;
--- a/lib/upstream/lease.cc
+++ b/lib/upstream/lease.cc
@@ -83,11 +83,16 @@
 GroupAuthority::GrantSet GroupAuthority::GrantableShards(
     const View& view, const UpstreamLink& link) const {
   GrantSet set;
-  const bool can_claim = !link.lease_was_expired && this->HasMajority();
+  const auto holder = this->holders.find(link.Ref());
+  const bool can_claim = holder != this->holders.end() &&
+                         holder->second.can_claim && this->HasMajority();
   for (const ShardId shard : this->OwnedShards(view, link.Ref())) {
     const bool is_claim =
         this->NeedsSuccessorRule(view, shard, view.shards.at(shard));
-    if (is_claim && !can_claim) continue;
+    if (is_claim && !can_claim) {
+      set.leaves_out_claim = true;
+      continue;
+    }
     set.only_if_unexpired |= is_claim;
     set.shards.push_back(shard);
   }
@@ -111,6 +116,12 @@
     return is_due ? std::optional<ControlRequest>(ClockCall{}) : std::nullopt;
   }
   GrantSet set = this->GrantableShards(view, link);
+  // Any grant would renew the lease that the claim rests on, so it waits for
+  // the majority while that lease may be unexpired.
+  const Holder& holder = this->HolderOf(view, link.Ref());
+  if (set.leaves_out_claim && holder.can_claim && view.now < holder.lease_end) {
+    return is_due ? std::optional<ControlRequest>(ClockCall{}) : std::nullopt;
+  }
   const bool is_changed = link.sent_shards != set.shards;
   if (!is_due && !(is_changed && is_prompt)) return std::nullopt;
   return this->MakeGrant(view, link, std::move(set));
@@ -125,6 +136,9 @@
 GrantCall GroupAuthority::MakeGrant(const View& view, UpstreamLink& link,
                                     GrantSet set) {
   link.sent_shards = set.shards;
+  if (set.leaves_out_claim) {
+    this->HolderOf(view, link.Ref()).can_claim = false;
+  }
   return GrantCall{this->group,          *link.instance,
                    this->token,          link.reading,
                    view.rules.lease,     set.only_if_unexpired,
--- a/lib/upstream/takeover.cc
+++ b/lib/upstream/takeover.cc
@@ -33,14 +33,23 @@
 }
 
 bool GroupAuthority::IsProvenGone(const View& view,
-                                  const UpstreamId& id) const {
+                                  const UpstreamLink& link) const {
   bool is_known = false;
   for (const auto& [ref, holder] : this->holders) {
-    if (ref.id != id) continue;
+    if (ref.id != link.id) continue;
     is_known = true;
     if (!this->IsInstanceGone(view, ref)) return false;
   }
-  return is_known;
+  if (is_known) return true;
+  // An upstream that never answered here and owns nothing in the log.
+  const auto& declared = view.input.state.declared_lost;
+  const bool is_declared = std::any_of(
+      declared.begin(), declared.end(),
+      [&link](const UpstreamRef& ref) { return ref.id == link.id; });
+  const auto facts = view.input.membership.find(link.vm);
+  return is_declared || (facts != view.input.membership.end() &&
+                         this->ownership_rules.is_vm_gone(
+                             facts->second, this->taken_at, std::nullopt));
 }
 
 bool GroupAuthority::AreOthersCleared(const View& view, ShardId shard,
@@ -49,7 +58,7 @@
     const bool is_owner =
         id == owner.id && (!link.instance || link.instance == owner.instance);
     if (!link.is_listed || is_owner) continue;
-    if (!this->IsFenced(link) && !this->IsProvenGone(view, id)) return false;
+    if (!this->IsFenced(link) && !this->IsProvenGone(view, link)) return false;
   }
   return !this->ReportedOwner(shard, owner);
 }
--- a/unittests/upstream/ownership_mutation_test.cc
+++ b/unittests/upstream/ownership_mutation_test.cc
@@ -26,7 +26,10 @@
   Finding finding;
   while (finding.violation.empty() && finding.cases < kMaxCases) {
     ++finding.cases;
-    options.seed = seed + static_cast<std::uint64_t>(finding.cases);
+    // Far apart, so that the cases of neighbouring seeds differ.
+    constexpr std::uint64_t kSeedStride = 1'000'003;
+    options.seed =
+        seed * kSeedStride + static_cast<std::uint64_t>(finding.cases);
     SimulatedWorld world(options);
     RunScript(world, generator(rc::Random(options.seed), kSize).value());
     finding.violation = world.Violation();
