--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -113,7 +113,7 @@
 
 publish_inventory() {
   print_inventory "$1" "$2" >"$work/inventory.json"
-  tool publish --inventory "$work/inventory.json" --operator demo
+  tool publish --inventory "$work/inventory.json"
 }
 
 # Usage: request DAEMON_NUMBER KEY [CURL_ARGUMENT...]: prints headers and body.
@@ -126,6 +126,18 @@
 
 is_served() { request "$1" "$2" | grep -q 'X-Bamboorack-Outcome: done'; }
 
+# Usage: owner_of DAEMON_NUMBER KEY: prints the upstream that serves the key.
+owner_of() { request "$1" "$2" | sed -nE 's/.*"upstream":"(u[0-9]+)".*/\1/p'; }
+
+# Prints the number of the daemon that holds the authority, of daemons 0 to 2.
+authority() {
+  local i
+  for i in 0 1 2; do
+    curl -s -m 2 "http://127.0.0.1:$(operator_port "$i")/status" |
+      grep -qE '"token": ?[1-9]' && echo "$i" && return
+  done
+}
+
 # Prints the value of a counter of a daemon; 0 if it is not there yet.
 counter() {
   curl -s "http://127.0.0.1:$(operator_port "$1")/metrics" |
