operator: order the destructor of a connection for ThreadSanitizer

The thread sanitizer reported a race between the last send on a connection and its deletion by the accept thread. POCO's reference count orders the two, but POCO is not instrumented. An atomic counter of the uses makes the order visible.

tsan operator_tests: failed before; 7 test cases, 288 assertions pass now.

--- a/lib/operator/limited_socket_server.cc
+++ b/lib/operator/limited_socket_server.cc
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -23,7 +25,16 @@
                           std::shared_ptr<const ConnectionLimits> bounds)
       : StreamSocketImpl(socket), limits(std::move(bounds)) {}
 
+  // POCO's reference count orders the destructor after the last use, but POCO
+  // is not instrumented and ThreadSanitizer needs to see the order.
+  ~LimitedStreamSocketImpl() override {
+    this->uses.load(std::memory_order_acquire);
+  }
+  LimitedStreamSocketImpl(const LimitedStreamSocketImpl&) = delete;
+  LimitedStreamSocketImpl& operator=(const LimitedStreamSocketImpl&) = delete;
+
   int receiveBytes(void* buffer, int length, int flags) override {
+    const UseMark mark{this->uses};
     if (!this->deadline) {
       this->deadline = std::chrono::steady_clock::now() + this->limits->time;
     }
@@ -43,6 +54,7 @@
   }
 
   int sendBytes(const void* buffer, int length, int flags) override {
+    const UseMark mark{this->uses};
     // The refusal was the whole answer; POCO may still try to add its own.
     if (this->is_refused) return length;
     this->setSendTimeout(this->Remaining());
@@ -50,6 +62,16 @@
   }
 
  private:
+  /// Marks the end of a use of the socket.
+  struct UseMark {
+    std::atomic<std::uint32_t>& uses;
+
+    explicit UseMark(std::atomic<std::uint32_t>& counter) : uses(counter) {}
+    ~UseMark() { this->uses.fetch_add(1, std::memory_order_release); }
+    UseMark(const UseMark&) = delete;
+    UseMark& operator=(const UseMark&) = delete;
+  };
+
   /// Call after the first `receiveBytes`, which always comes before the answer.
   /// Throws `Poco::TimeoutException` if no time remains.
   Poco::Timespan Remaining() const {
@@ -78,6 +100,7 @@
   std::optional<MonotonicTime> deadline;
   std::size_t received = 0;
   bool is_refused = false;
+  std::atomic<std::uint32_t> uses{0};
 };
 
 class LimitedServerSocketImpl : public Poco::Net::ServerSocketImpl {
