scripts: wait for the authority to show in a daemon's status

Cause: a status is up to 200 ms old, so three process tests found no authority right after the cluster had started; the peer listener also shared its port.

--- a/lib/peer/peer_thread.cc
+++ b/lib/peer/peer_thread.cc
@@ -38,7 +38,8 @@
 
 tl::expected<void, std::string> PeerThread::Start() {
   try {
-    this->server.bind(AddressOf(this->settings.listen), true);
+    // POCO's default would let a second daemon take the same port.
+    this->server.bind(AddressOf(this->settings.listen), true, false);
     this->server.listen(kBacklog);
     this->server.setBlocking(false);
     this->port = this->server.address().port();
--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -130,11 +130,15 @@
 owner_of() { request "$1" "$2" | sed -nE 's/.*"upstream":"(u[0-9]+)".*/\1/p'; }
 
 # Prints the number of the daemon that holds the authority, of daemons 0 to 2.
+# The status of a daemon is up to 200 ms old, so it may have to be asked again.
 authority() {
-  local i
-  for i in 0 1 2; do
-    curl -s -m 2 "http://127.0.0.1:$(operator_port "$i")/status" |
-      grep -qE '"token": ?[1-9]' && echo "$i" && return
+  local i end=$((SECONDS + 5))
+  while [ "$SECONDS" -lt "$end" ]; do
+    for i in 0 1 2; do
+      curl -s -m 2 "http://127.0.0.1:$(operator_port "$i")/status" |
+        grep -qE '"token": ?[1-9]' && echo "$i" && return
+    done
+    sleep 0.05
   done
 }
 
