--- a/include/bamboorack/upstream/group_authority.h
+++ b/include/bamboorack/upstream/group_authority.h
@@ -120,6 +120,8 @@
     const FencingStrategy& strategy;
     Shards shards;
     MonotonicTime now;
+    /// The shards of each owner, in order.
+    std::map<UpstreamRef, std::vector<ShardId>> by_owner;
   };
   /// What the owners should be.
   struct Plan {
--- a/lib/upstream/group_authority.cc
+++ b/lib/upstream/group_authority.cc
@@ -69,13 +69,16 @@
             input.state.RulesOf(this->group.service),
             FencingStrategy::Of(*service),
             {},
-            now};
+            now,
+            {}};
   const auto shards = input.state.shards.find(this->group.service);
   if (shards == input.state.shards.end()) return view;
   for (std::size_t i = 0; i < shards->second.size(); ++i) {
     if (shards->second[i].group != this->group) continue;
-    view.shards.emplace(ShardId(static_cast<std::uint32_t>(i)),
-                        shards->second[i]);
+    const ShardId shard(static_cast<std::uint32_t>(i));
+    const ShardState& state = shards->second[i];
+    view.shards.emplace_hint(view.shards.end(), shard, state);
+    if (state.owner) view.by_owner[*state.owner].push_back(shard);
   }
   return view;
 }
@@ -119,8 +122,8 @@
                       IsVmLeaving(view.input.membership, link.vm) ||
                       Contains(view.input.state.rules.drained_upstreams, id);
   }
-  for (const auto& [shard, state] : view.shards) {
-    if (state.owner) this->HolderOf(view, *state.owner);
+  for (const auto& [owner, shards] : view.by_owner) {
+    this->HolderOf(view, owner);
   }
 }
 
--- a/lib/upstream/lease.cc
+++ b/lib/upstream/lease.cc
@@ -74,8 +74,10 @@
                                               const UpstreamRef& ref) const {
   std::set<ShardId> owned;
   if (view.input.state.declared_lost.contains(ref)) return owned;
-  for (const auto& [shard, state] : view.shards) {
-    if (state.owner == ref && !this->moves.contains(shard)) owned.insert(shard);
+  const auto found = view.by_owner.find(ref);
+  if (found == view.by_owner.end()) return owned;
+  for (const ShardId shard : found->second) {
+    if (!this->moves.contains(shard)) owned.insert(owned.end(), shard);
   }
   return owned;
 }
