--- a/include/bamboorack/upstream/group_authority.h
+++ b/include/bamboorack/upstream/group_authority.h
@@ -126,7 +126,7 @@
   /// What the owners should be.
   struct Plan {
     std::vector<OwnerTarget> targets;
-    std::map<ShardId, UpstreamRef> wanted;
+    std::set<UpstreamRef> refs;
     /// Every upstream of the group either answered or failed to.
     bool is_complete = false;
     bool can_rebalance = false;
@@ -225,7 +225,9 @@
   void ConsiderOwner(const View& view, ShardId shard, Move move,
                      const Plan& plan);
   Plan MakePlan(const View& view);
-  std::optional<UpstreamRef> WantedOwner(const Plan& plan, ShardId shard) const;
+  /// Returns the planned owner; none for a shard of another group, or if no
+  /// upstream is live.
+  std::optional<UpstreamRef> WantedOwner(ShardId shard) const;
   void UpdateForeignShards(const View& view);
   bool CanRebalance(const View& view, const Plan& plan) const;
   bool TakeMoveBudget(const View& view);
--- a/lib/upstream/moves.cc
+++ b/lib/upstream/moves.cc
@@ -13,12 +13,6 @@
 /// After this time without a change in the state a move is appended anew.
 constexpr std::chrono::seconds kAppendAgain{2};
 
-bool IsTarget(const std::vector<OwnerTarget>& targets, const UpstreamRef& ref) {
-  return std::any_of(
-      targets.begin(), targets.end(),
-      [&ref](const OwnerTarget& target) { return target.ref == ref; });
-}
-
 /// Hashes what `ProposeGroups` depends on.
 std::uint64_t HashOfUpstreams(const ServiceEntry& service,
                               std::uint32_t shard_total) {
@@ -67,17 +61,17 @@
   }
 }
 
-std::optional<UpstreamRef> GroupAuthority::WantedOwner(const Plan& plan,
-                                                       ShardId shard) const {
+std::optional<UpstreamRef> GroupAuthority::WantedOwner(ShardId shard) const {
   if (this->foreign_shards.contains(shard)) return std::nullopt;
-  const auto wanted = plan.wanted.find(shard);
-  if (wanted == plan.wanted.end()) return std::nullopt;
+  const auto wanted = this->planned.find(shard);
+  if (wanted == this->planned.end()) return std::nullopt;
   return wanted->second;
 }
 
 GroupAuthority::Plan GroupAuthority::MakePlan(const View& view) {
   Plan plan;
   plan.targets = this->Targets(view);
+  for (const OwnerTarget& target : plan.targets) plan.refs.insert(target.ref);
   std::map<ShardId, std::optional<UpstreamRef>> owners;
   for (const auto& [shard, state] : view.shards) {
     if (this->foreign_shards.contains(shard)) continue;
@@ -90,7 +84,6 @@
     this->planned_from = std::move(owners);
     this->planned_targets = plan.targets;
   }
-  plan.wanted = this->planned;
   plan.is_complete = std::none_of(
       this->links.begin(), this->links.end(),
       [&](const auto& entry) { return this->IsUndecided(view, entry.second); });
@@ -103,12 +96,12 @@
   const bool is_stopping = authority == view.input.state.authorities.end() ||
                            authority->second.released_to;
   if (is_stopping || !plan.is_complete) return false;
-  return std::all_of(
-      view.shards.begin(), view.shards.end(), [&](const auto& entry) {
-        const auto& [shard, state] = entry;
-        return state.owner && (this->moves.contains(shard) ||
-                               IsTarget(plan.targets, *state.owner));
-      });
+  return std::all_of(view.shards.begin(), view.shards.end(),
+                     [&](const auto& entry) {
+                       const auto& [shard, state] = entry;
+                       return state.owner && (this->moves.contains(shard) ||
+                                              plan.refs.contains(*state.owner));
+                     });
 }
 
 void GroupAuthority::PlanMoves(const View& view, AuthorityOutput& output) {
@@ -126,9 +119,9 @@
 void GroupAuthority::RetargetMoves(const Plan& plan) {
   for (auto entry = this->moves.begin(); entry != this->moves.end();) {
     auto& [shard, move] = *entry;
-    const auto wanted = this->WantedOwner(plan, shard);
+    const auto wanted = this->WantedOwner(shard);
     const bool is_good =
-        move.is_reported || !move.to || IsTarget(plan.targets, *move.to);
+        move.is_reported || !move.to || plan.refs.contains(*move.to);
     if (is_good || !wanted) {
       ++entry;
       continue;
@@ -145,7 +138,7 @@
     this->ConsiderUnsettled(view, shard, state);
     return;
   }
-  const auto wanted = this->WantedOwner(plan, shard);
+  const auto wanted = this->WantedOwner(shard);
   if (state.owner == wanted) return;
   // A group without a live upstream keeps its shards, unless the inventory
   // places them in another group.
@@ -216,7 +209,7 @@
   for (auto& [shard, move] : this->moves) {
     if (move.append_again_at && view.now < *move.append_again_at) continue;
     const bool is_good =
-        move.is_reported || !move.to || IsTarget(plan.targets, *move.to);
+        move.is_reported || !move.to || plan.refs.contains(*move.to);
     if (!is_good) continue;
     const auto proof = this->FindProof(view, shard, move);
     if (!proof) continue;
