daemon: keep a group's state while its work is in flight

Cause: an upload that lost its connection after its group had left settled with the token of a group that was already dropped, and std::map::at ended the process. It needs a group without remembered once-only ids. Change: a group's state stays while a job belongs to it; a fuzz world without once-only work and a unit test.

--- a/lib/daemon/local_tables.cc
+++ b/lib/daemon/local_tables.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -102,9 +103,12 @@
     return !lane.info && lane.queue.Size() == 0 &&
            lane.estimator->Active() == 0;
   });
-  std::erase_if(this->groups, [this](const auto& item) {
+  // Work in flight still needs the token and the budget of its group.
+  std::set<GroupId> in_use;
+  for (const auto& [id, job] : this->jobs) in_use.insert(job.group);
+  std::erase_if(this->groups, [this, &in_use](const auto& item) {
     return !this->table->local_groups.contains(item.first) &&
-           item.second.memory.Size() == 0;
+           item.second.memory.Size() == 0 && !in_use.contains(item.first);
   });
   std::chrono::milliseconds longest = ServiceRules().id_memory;
   for (const auto& [service, rules] : this->table->state->rules.services) {
--- a/unittests/daemon/router_forward_test.cc
+++ b/unittests/daemon/router_forward_test.cc
@@ -140,6 +140,24 @@
   }
 }
 
+SCENARIO("an upload that fails after its group has left ends the process") {
+  GIVEN("an upload in flight, and nothing else") {
+    RouterHarness world;
+    world.PublishTable();
+    const auto slot = world.Call(Rank::kBulk, "upload");
+    WHEN("another daemon takes the authority and the connection breaks") {
+      world.SetAuthority("other", 20);
+      world.PublishTable();
+      world.EndDispatch(0, Unknown(Reason::kUpstreamLost));
+      THEN("the upstream is asked what became of it") {
+        REQUIRE(world.settles.size() == 1);
+        world.EndSettle(0, upstream::SettleState::kNotRun);
+        CHECK(world.EndingOf(slot) == "not_run upstream_lost");
+      }
+    }
+  }
+}
+
 SCENARIO("a group that leaves keeps or cuts off its work") {
   GIVEN("a request in flight, one queued here and one queued for a peer") {
     RouterHarness world;
--- a/unittests/daemon/router_fuzz_test.cc
+++ b/unittests/daemon/router_fuzz_test.cc
@@ -95,6 +95,9 @@
   SECTION("upstreams that do not check tokens, under mandates") {
     CHECK(rc::check([] { RunWorld({false, true, 40}); }));
   }
+  SECTION("lookups and uploads only, so that no group remembers ids") {
+    CHECK(rc::check([] { RunWorld({true, true, 0}); }));
+  }
   SECTION("upstreams that can't tell what became of a request") {
     CHECK(rc::check([] { RunWorld({true, false, 70}); }));
   }
