--- a/lib/caller/caller_reactor.cc
+++ b/lib/caller/caller_reactor.cc
@@ -390,7 +390,9 @@
   if (connection.http.HasOutput()) return Step::kWait;
   if (connection.keep_alive && !connection.peer_closed) {
     connection.phase = Phase::kIdle;
-    this->SetTimeout(connection, this->settings.idle_timeout);
+    this->SetTimeout(connection, this->is_stopping
+                                     ? kStopGrace
+                                     : this->settings.idle_timeout);
     return Step::kAgain;
   }
   connection.http.Input().clear();
--- a/unittests/upstream/fake_upstream_test.cc
+++ b/unittests/upstream/fake_upstream_test.cc
@@ -84,8 +84,9 @@
     return result->answer;
   }
 
-  SettleState Settle(const std::string& id) {
-    this->Send(SettleCall{RequestId(id)});
+  /// Settles `id` and fences its attempts up to dispatch `through`.
+  SettleState Settle(const std::string& id, DispatchId through) {
+    this->Send(SettleCall{RequestId(id), {FencingToken(7), through}});
     auto result = this->to_routing.PopUntil(Soon());
     REQUIRE(result.has_value());
     const auto& answer = std::get<ControlResult>(*result).answer;
@@ -186,11 +187,15 @@
       CHECK(*result->body ==
             R"({"upstream":"u1","instance":"i1","key":"a/b",)"
             R"("request_id":"r1","method":"POST","body_bytes":5,"runs":1})");
-      CHECK(fixture.Settle("r1") == SettleState::kDone);
+      CHECK(fixture.Settle("r1", DispatchId(1)) == SettleState::kDone);
     }
-    THEN("an id that is settled as not run never runs") {
-      CHECK(fixture.Settle("r1") == SettleState::kNotRun);
-      CHECK(reason_of(fixture.MakeDispatch("r1")) == Reason::kDeadlinePassed);
+    THEN("an attempt that is settled as not run never runs") {
+      const Dispatch attempt = fixture.MakeDispatch("r1");
+      CHECK(fixture.Settle("r1", attempt.id) == SettleState::kNotRun);
+      CHECK(reason_of(attempt) == Reason::kDeadlinePassed);
+      SECTION("but a later attempt does") {
+        CHECK(fixture.Run(fixture.MakeDispatch("r1")).has_value());
+      }
     }
     THEN("a foreign shard, instance or a passed deadline is refused") {
       Dispatch dispatch = fixture.MakeDispatch("r1");
--- a/unittests/upstream/upstream_codec_test.cc
+++ b/unittests/upstream/upstream_codec_test.cc
@@ -38,7 +38,8 @@
     CHECK(bytes.head ==
           "PUT /a%2Fb%20c/x?y=%20 HTTP/1.1\r\nHost: 127.0.0.1:81\r\n"
           "X-Request-Id: r1\r\nX-Service: reader\r\nX-Shard: 3\r\n"
-          "X-Token: 7\r\nX-Dispatch: 0\r\nX-Instance: i1\r\nX-Deadline-Clock-Ms: 99\r\n"
+          "X-Token: 7\r\nX-Dispatch: 0\r\nX-Instance: "
+          "i1\r\nX-Deadline-Clock-Ms: 99\r\n"
           "X-Rank: once\r\nContent-Type: text/plain\r\n"
           "Content-Length: 4\r\n\r\n");
     CHECK(*bytes.body == "body");
