upstream: send the instance with a settle call

Cause: the codec left out the instance that the daemon sets, so a replacement at the same address would report ids that its predecessor ran as not run. Change: the instance is sent, and the stand-in upstream answers 410 if it is another one.

--- a/lib/upstream/upstream_codec.cc
+++ b/lib/upstream/upstream_codec.cc
@@ -77,6 +77,7 @@
   json.set("request_id", settle.request.value);
   json.set("token", settle.fence_through.token.value);
   json.set("dispatch", settle.fence_through.dispatch.value);
+  json.set("instance", settle.instance.value);
   return json;
 }
 
--- a/tools/fakes/upstream/upstream_server.cc
+++ b/tools/fakes/upstream/upstream_server.cc
@@ -209,6 +209,10 @@
 
 UpstreamServer::Reply UpstreamServer::Settle(const Json& body) {
   if (!this->settings.can_settle) return {501, "{}", {}};
+  const auto instance = body.optValue<std::string>("instance", "");
+  if (!instance.empty() && instance != this->settings.ownership.instance) {
+    return {410, "{}", {}};
+  }
   const std::lock_guard lock(this->mutex);
   Json json;
   RequestOrder through;
--- a/unittests/upstream/fake_upstream_test.cc
+++ b/unittests/upstream/fake_upstream_test.cc
@@ -225,6 +225,14 @@
       CHECK(std::get<ClockAnswer>(*fixture.Call(ClockCall{})).token ==
             FencingToken(8));
     }
+    THEN("another instance does not tell the fate of an id") {
+      fixture.Send(
+          SettleCall{RequestId("r1"), {}, UpstreamInstance("replaced")});
+      const auto result = fixture.to_routing.PopUntil(Soon());
+      REQUIRE(result.has_value());
+      CHECK(std::get<ControlResult>(*result).answer.error() ==
+            ControlError::kOtherInstance);
+    }
     THEN("an order to another instance is refused") {
       CHECK(
           fixture
