log_service: keep the range of shards in bounds when rules drop hot keys

Cause: with fewer hot keys the shard vector shrinks, and the search for unowned shards began behind its end, which the standard leaves undefined. Change: the search begins at the end at the latest; a test drops a far shard. Result: no failure was seen before the change either: libstdc++ 12 treats the reversed range as empty, in the release and ASan builds.

--- a/lib/log_service/fold.cc
+++ b/lib/log_service/fold.cc
@@ -299,7 +299,9 @@
   // A proposal costs a score for each shard and group, so it is made only for
   // shards that need one. At 8,000 shards and 187 groups it takes 32 ms.
   const auto is_unowned = [](const ShardState& shard) { return !shard.owner; };
-  const auto from = shards.begin() + static_cast<std::ptrdiff_t>(first);
+  // Rules with fewer hot keys leave fewer shards than there were.
+  const auto from = shards.begin() +
+                    static_cast<std::ptrdiff_t>(std::min(first, shards.size()));
   if (std::none_of(from, shards.end(), is_unowned)) return;
   const std::vector<GroupId> proposal = ProposeGroups(service, total);
   for (std::size_t i = first; i < proposal.size(); ++i) {
--- a/unittests/log_service/fold_test.cc
+++ b/unittests/log_service/fold_test.cc
@@ -281,6 +281,13 @@
         CHECK(log.Shard(9).changed_at == LogOffset(log.records.size()));
         CHECK_FALSE(log.Shard(8).owner.has_value());
       }
+      THEN("a far shard can be added and dropped, and memory stays in bounds") {
+        REQUIRE(publish({{3, ShardId(9)}, {5, ShardId(3999)}}) ==
+                Verdict::kAccepted);
+        REQUIRE(log.fold.State().shards.at(kReader).size() == 4000);
+        CHECK(publish({}) == Verdict::kAccepted);
+        CHECK(log.fold.State().shards.at(kReader).size() == 8);
+      }
       THEN("it may stop being hot while the owners are the same") {
         CHECK(publish({}) == Verdict::kAccepted);
         CHECK(log.fold.State().shards.at(kReader).size() == 8);
