--- a/include/bamboorack/daemon/routing_thread.h
+++ b/include/bamboorack/daemon/routing_thread.h
@@ -34,7 +34,7 @@
   void Run();
   /// Handles what waits in all rings. Returns false if there was nothing.
   bool HandleInputs(MonotonicTime now);
-  void CarryOut(RouterActions actions, MonotonicTime now);
+  void CarryOut(RouterActions&& actions, MonotonicTime now);
 
   void AnswerCaller(RouterAction& action, MonotonicTime now);
   void Forward(RouterAction& action, MonotonicTime now);
--- a/lib/daemon/routing_thread.cc
+++ b/lib/daemon/routing_thread.cc
@@ -83,7 +83,7 @@
   return had_input;
 }
 
-void RoutingThread::CarryOut(RouterActions actions, MonotonicTime now) {
+void RoutingThread::CarryOut(RouterActions&& actions, MonotonicTime now) {
   // One row for each alternative of `RouterAction`.
   static constexpr std::array<ActionHandler, std::variant_size_v<RouterAction>>
       kHandlers = {
@@ -137,8 +137,8 @@
 }
 
 void RoutingThread::CancelDispatch(RouterAction& action, MonotonicTime) {
-  auto& cancel = std::get<upstream::CancelDispatch>(action);
-  if (!this->rings.to_upstream.TryPush(std::move(cancel))) {
+  const auto& cancel = std::get<upstream::CancelDispatch>(action);
+  if (!this->rings.to_upstream.TryPush(upstream::ToUpstream(cancel))) {
     this->metrics.Count("cancels_dropped");
   }
 }
--- a/tools/load/load_worker.cc
+++ b/tools/load/load_worker.cc
@@ -101,8 +101,7 @@
     std::istream& stream = this->session->receiveResponse(response);
     std::string body;
     Poco::StreamCopier::copyToString(stream, body);
-    const std::string outcome =
-        response.get("X-Bamboorack-Outcome", "no_answer");
+    std::string outcome = response.get("X-Bamboorack-Outcome", "no_answer");
     if (outcome != "done") {
       ++this->report.reasons[response.get("X-Bamboorack-Reason", "none")];
     } else {
