--- a/benchmarks/overload_model.h
+++ b/benchmarks/overload_model.h
@@ -202,15 +202,16 @@
            std::chrono::duration<double>(work.mean_service).count();
   }
 
-  std::chrono::nanoseconds Exponential(double mean_seconds) {
-    std::exponential_distribution<double> distribution(1.0 / mean_seconds);
+  std::chrono::nanoseconds Exponential(std::chrono::duration<double> mean) {
+    std::exponential_distribution<double> distribution(1.0);
     return std::chrono::duration_cast<std::chrono::nanoseconds>(
-        std::chrono::duration<double>(distribution(this->random)));
+        distribution(this->random) * mean);
   }
 
   void ScheduleArrival(Rank rank, MonotonicTime after) {
     const MonotonicTime at =
-        after + this->Exponential(1.0 / this->RateOf(rank));
+        after + this->Exponential(
+                    std::chrono::duration<double>(1.0 / this->RateOf(rank)));
     if (at >= kEnd) return;
     const Work& work = kWork.at(IndexOf(rank));
     Item item;
@@ -221,8 +222,7 @@
     item.sent = at;
     item.deadline = at + work.deadline;
     const double slower = at >= kMiddle ? this->scenario.slowdown : 1.0;
-    item.service = this->Exponential(
-        slower * std::chrono::duration<double>(work.mean_service).count());
+    item.service = this->Exponential(slower * work.mean_service);
     this->items.push_back(item);
     this->Push(at, Kind::kArrival, item.id);
   }
--- a/include/bamboorack/upstream/service_time_estimator.h
+++ b/include/bamboorack/upstream/service_time_estimator.h
@@ -42,15 +42,17 @@
                                         std::uint32_t limit) const;
 
  protected:
-  /// Returns seconds until the start.
-  virtual double PredictSeconds(const RankCounts& ahead,
-                                std::uint32_t limit) const = 0;
-  /// Takes one answer: its seconds, and the answers that came meanwhile, its
-  /// own included.
-  virtual void Learn(double seconds, double answers) = 0;
-  /// Returns the smoothed seconds of one request of `rank`.
-  double SecondsOf(Rank rank) const;
-  double SecondsOfAny() const { return this->smoothed_seconds; }
+  using Seconds = std::chrono::duration<double>;
+
+  /// Returns the time until the start.
+  virtual Seconds Predict(const RankCounts& ahead,
+                          std::uint32_t limit) const = 0;
+  /// Takes one answer: its response time, and the answers that came meanwhile,
+  /// its own included.
+  virtual void Learn(Seconds response, double answers) = 0;
+  /// Returns the smoothed response time of one request of `rank`.
+  Seconds TimeOf(Rank rank) const;
+  Seconds TimeOfAny() const { return this->smoothed; }
 
  private:
   struct Start {
@@ -61,8 +63,8 @@
 
   std::unordered_map<DispatchId, Start> started;
   std::uint64_t completed = 0;
-  double smoothed_seconds = 0.0;
-  std::array<double, kRankCount> rank_seconds{};
+  Seconds smoothed{0.0};
+  std::array<Seconds, kRankCount> rank_smoothed{};
   std::array<std::size_t, kRankCount> active{};
 };
 
@@ -70,9 +72,8 @@
 /// this one, shared by the requests that may be in flight.
 class SmoothedServiceTime final : public ServiceTimeEstimator {
  protected:
-  double PredictSeconds(const RankCounts& ahead,
-                        std::uint32_t limit) const override;
-  void Learn(double seconds, double answers) override;
+  Seconds Predict(const RankCounts& ahead, std::uint32_t limit) const override;
+  void Learn(Seconds response, double answers) override;
 };
 
 /// Predicts the response as smoothed load for each request, times the requests
@@ -81,12 +82,11 @@
 /// the upstream's slots, and knows no ranks.
 class LoadPerRequest final : public ServiceTimeEstimator {
  protected:
-  double PredictSeconds(const RankCounts& ahead,
-                        std::uint32_t limit) const override;
-  void Learn(double seconds, double answers) override;
+  Seconds Predict(const RankCounts& ahead, std::uint32_t limit) const override;
+  void Learn(Seconds response, double answers) override;
 
  private:
-  double load_seconds = 0.0;
+  Seconds load{0.0};
 };
 
 }  // namespace bamboorack::upstream
--- a/lib/upstream/service_time_estimator.cc
+++ b/lib/upstream/service_time_estimator.cc
@@ -8,13 +8,15 @@
 // About the last 20 answers: three to six times the slots of one upstream.
 constexpr double kSmoothing = 0.1;
 
-void Smooth(double& value, double sample) {
-  value = value == 0.0 ? sample : value + kSmoothing * (sample - value);
+using Seconds = std::chrono::duration<double>;
+
+void Smooth(Seconds& value, Seconds sample) {
+  value =
+      value == Seconds::zero() ? sample : value + kSmoothing * (sample - value);
 }
 
-std::chrono::nanoseconds FromSeconds(double seconds) {
-  return std::chrono::duration_cast<std::chrono::nanoseconds>(
-      std::chrono::duration<double>(seconds));
+std::chrono::nanoseconds ToNanoseconds(Seconds time) {
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(time);
 }
 
 }  // namespace
@@ -34,53 +36,52 @@
   --this->active.at(IndexOf(start.rank));
   if (!was_answered) return;
   ++this->completed;
-  const double seconds = std::chrono::duration<double>(now - start.at).count();
-  Smooth(this->smoothed_seconds, seconds);
-  Smooth(this->rank_seconds.at(IndexOf(start.rank)), seconds);
-  this->Learn(seconds,
+  const Seconds response = now - start.at;
+  Smooth(this->smoothed, response);
+  Smooth(this->rank_smoothed.at(IndexOf(start.rank)), response);
+  this->Learn(response,
               static_cast<double>(this->completed - start.completed_before));
 }
 
 std::chrono::nanoseconds ServiceTimeEstimator::ServiceTime(Rank rank) const {
-  return FromSeconds(this->SecondsOf(rank));
+  return ToNanoseconds(this->TimeOf(rank));
 }
 
-double ServiceTimeEstimator::SecondsOf(Rank rank) const {
-  const double known = this->rank_seconds.at(IndexOf(rank));
-  return known == 0.0 ? this->smoothed_seconds : known;
+ServiceTimeEstimator::Seconds ServiceTimeEstimator::TimeOf(Rank rank) const {
+  const Seconds known = this->rank_smoothed.at(IndexOf(rank));
+  return known == Seconds::zero() ? this->smoothed : known;
 }
 
 std::chrono::nanoseconds ServiceTimeEstimator::PredictStart(
     const RankCounts& ahead, std::uint32_t limit) const {
-  return FromSeconds(std::max(0.0, this->PredictSeconds(ahead, limit)));
+  return ToNanoseconds(std::max(Seconds::zero(), this->Predict(ahead, limit)));
 }
 
-double SmoothedServiceTime::PredictSeconds(const RankCounts& ahead,
-                                           std::uint32_t limit) const {
-  if (this->Active() < limit) return 0.0;
-  double queued = 0.0;
-  double running = 0.0;
+ServiceTimeEstimator::Seconds SmoothedServiceTime::Predict(
+    const RankCounts& ahead, std::uint32_t limit) const {
+  if (this->Active() < limit) return Seconds::zero();
+  Seconds queued{0.0};
+  Seconds running{0.0};
   for (const Rank rank : kRanks) {
-    queued += ahead.at(IndexOf(rank)) * this->SecondsOf(rank);
-    running += static_cast<double>(this->Active(rank)) * this->SecondsOf(rank);
+    queued += ahead.at(IndexOf(rank)) * this->TimeOf(rank);
+    running += static_cast<double>(this->Active(rank)) * this->TimeOf(rank);
   }
   // One of the running requests ends after a `limit`-th of their usual time.
-  const double first_end = running / static_cast<double>(this->Active());
+  const Seconds first_end = running / static_cast<double>(this->Active());
   return (queued + first_end) / std::max(limit, 1U);
 }
 
-void SmoothedServiceTime::Learn(double /*seconds*/, double /*answers*/) {}
+void SmoothedServiceTime::Learn(Seconds /*response*/, double /*answers*/) {}
 
-double LoadPerRequest::PredictSeconds(const RankCounts& ahead,
-                                      std::uint32_t /*limit*/) const {
+ServiceTimeEstimator::Seconds LoadPerRequest::Predict(
+    const RankCounts& ahead, std::uint32_t /*limit*/) const {
   double requests = static_cast<double>(this->Active()) + 1.0;
   for (const double count : ahead) requests += count;
-  const double response = this->load_seconds * requests;
-  return response - this->SecondsOfAny();
+  return this->load * requests - this->TimeOfAny();
 }
 
-void LoadPerRequest::Learn(double seconds, double answers) {
-  Smooth(this->load_seconds, seconds / answers);
+void LoadPerRequest::Learn(Seconds response, double answers) {
+  Smooth(this->load, response / answers);
 }
 
 }  // namespace bamboorack::upstream
--- a/unittests/daemon/log_follower_test.cc
+++ b/unittests/daemon/log_follower_test.cc
@@ -137,14 +137,16 @@
 
     WHEN("a snapshot was written before the log forgot its beginning") {
       WriteSnapshot(old_reader, log);
-      log.Append(RulesPublished{Revision(2), MakeRules(20)});
+      const LogOffset changed =
+          log.Append(RulesPublished{Revision(2), MakeRules(20)});
       log.Trim(3);
       Reader reader;
       reader.Read(log.ReadFrom(3));
       THEN("a new daemon starts from the log alone") {
         CHECK(reader.follower.HasState());
         CHECK(reader.follower.State().inventory_revision == Revision(1));
-        CHECK(reader.follower.State().rules_revision == Revision(3));
+        CHECK(reader.follower.State().rules_revision ==
+              Revision(changed.value));
       }
     }
 
