--- a/include/bamboorack/daemon/control_duty.h
+++ b/include/bamboorack/daemon/control_duty.h
@@ -75,6 +75,9 @@
   void SyncAuthorities(MonotonicTime now);
   void SyncPeers();
   void Elect(MonotonicTime now);
+  /// Lets the authorities decide, if time has passed or their input changed.
+  /// A decision at every message took 1.6 % of a core for four upstreams.
+  void TickAuthorities(MonotonicTime now);
   void SendHeartbeats(MonotonicTime now);
   void RequestMissingState(MonotonicTime now);
   upstream::AuthorityInput MakeInput(MonotonicTime now) const;
@@ -99,8 +102,14 @@
   std::map<UpstreamRef, MonotonicTime> known_since;
   std::map<DaemonId, Endpoint> peers;
   std::shared_ptr<const ClusterState> shared_state;
+  std::shared_ptr<const RoutingTable> last_table;
   Revision peers_revision;
   std::uint64_t last_call_space = 0;
+  MonotonicTime next_tick;
+  LogOffset ticked_at;
+  bool has_new_list = false;
+  /// An authority decided since the last table was published.
+  bool has_decided = false;
   MonotonicTime next_heartbeat;
   MonotonicTime next_status;
   MonotonicTime next_state_request;
--- a/lib/daemon/control_duty.cc
+++ b/lib/daemon/control_duty.cc
@@ -23,6 +23,37 @@
 
 std::uint64_t SpaceOf(ControlCallId id) { return id.value >> kCallSpaceShift; }
 
+/// Counts the shards of `upstream` whose grant it confirmed.
+std::uint32_t CountGranted(const RoutingTable& table,
+                           const LocalUpstream& upstream) {
+  const ServiceName& service = upstream.group.service;
+  const auto granted = table.granted.find(service);
+  const auto shards = table.state->shards.find(service);
+  if (granted == table.granted.end() || shards == table.state->shards.end()) {
+    return 0;
+  }
+  const std::size_t total =
+      std::min(granted->second.size(), shards->second.size());
+  std::uint32_t count = 0;
+  for (std::size_t i = 0; i < total; ++i) {
+    if (granted->second[i] && shards->second[i].owner == upstream.ref) ++count;
+  }
+  return count;
+}
+
+std::vector<operators::UpstreamStatus> StatusOfUpstreams(
+    const RoutingTable& table) {
+  using operators::GrantState;
+  std::vector<operators::UpstreamStatus> all;
+  for (const auto& [ref, upstream] : table.local_upstreams) {
+    const std::uint32_t count = CountGranted(table, upstream);
+    GrantState state = count > 0 ? GrantState::kGranted : GrantState::kNone;
+    if (!upstream.accepts_work) state = GrantState::kDraining;
+    all.push_back({ref, upstream.group, state, count});
+  }
+  return all;
+}
+
 }  // namespace
 
 ControlDuty::ControlDuty(DaemonIdentity daemon_identity, milliseconds retention,
@@ -50,11 +81,9 @@
     this->SyncPeers();
     this->SyncAuthorities(now);
     this->Elect(now);
-    for (auto& [group, held_group] : this->held) {
-      this->CarryOut(held_group.authority.Tick(this->MakeInput(now), now), now);
-    }
+    this->TickAuthorities(now);
     this->SendHeartbeats(now);
-    this->PublishTable(now);
+    if (std::exchange(this->has_decided, false)) this->PublishTable(now);
     auto piece = this->log.DueSnapshotPiece(this->IsSnapshotWriter(), now,
                                             this->next_record_id);
     if (piece) this->Append(std::move(*piece), now);
@@ -121,6 +150,7 @@
       continue;
     }
     this->membership.OnList(*list);
+    this->has_new_list = true;
   }
 }
 
@@ -170,6 +200,7 @@
 
 void ControlDuty::TakeControlResults(MonotonicTime now) {
   while (auto result = this->rings.upstream_to_control.TryPop()) {
+    this->has_decided = true;
     for (auto& [group, held_group] : this->held) {
       if (held_group.call_space != SpaceOf(result->id)) continue;
       this->CarryOut(held_group.authority.OnControlResult(this->MakeInput(now),
@@ -232,6 +263,20 @@
   }
 }
 
+void ControlDuty::TickAuthorities(MonotonicTime now) {
+  const LogOffset position = this->log.State().next_offset;
+  const bool is_due = now >= this->next_tick || position != this->ticked_at ||
+                      this->has_new_list;
+  if (!is_due) return;
+  this->next_tick = now + kTickInterval;
+  this->ticked_at = position;
+  this->has_new_list = false;
+  for (auto& [group, held_group] : this->held) {
+    this->CarryOut(held_group.authority.Tick(this->MakeInput(now), now), now);
+  }
+  this->has_decided = true;
+}
+
 upstream::AuthorityInput ControlDuty::MakeInput(MonotonicTime now) const {
   return upstream::AuthorityInput{this->log.State(), this->log.HeadContact(),
                                   this->log.HasContact(now),
@@ -268,6 +313,7 @@
   for (const auto& [group, held_group] : this->held) {
     held_group.authority.FillTable(input, *table);
   }
+  this->last_table = table;
   if (!this->rings.tables.TryPush(std::move(table))) {
     this->metrics.Count("tables_dropped");
   }
@@ -280,12 +326,19 @@
   snapshot->daemon = this->identity.id;
   snapshot->instance = this->identity.instance;
   snapshot->taken_at = now;
+  snapshot->is_draining = this->IsStopping();
+  if (this->log.HeadContact() != MonotonicTime()) {
+    snapshot->log_contact = this->log.HeadContact();
+  }
   snapshot->state = this->shared_state;
   snapshot->peers_last_heard = this->last_heard;
   for (const auto& [group, authority] : this->log.State().authorities) {
     if (!this->held.contains(group)) continue;
     snapshot->groups.push_back({group, authority.token});
   }
+  if (this->last_table != nullptr) {
+    snapshot->upstreams = StatusOfUpstreams(*this->last_table);
+  }
   this->status.Set(std::move(snapshot));
 }
 
