--- a/include/bamboorack/upstream/upstream_reactor.h
+++ b/include/bamboorack/upstream/upstream_reactor.h
@@ -103,6 +103,8 @@
   /// Returns false if the peer has closed or sent something meanwhile.
   bool IsUsable(Connection& connection);
   void Begin(Connection& connection, std::unique_ptr<Exchange> exchange);
+  /// Waits for input, and for room while output is left.
+  void WatchExchange(const Connection& connection);
   void Park(Connection& connection);
   void Close(Connection& connection);
 
--- a/lib/upstream/upstream_reactor.cc
+++ b/lib/upstream/upstream_reactor.cc
@@ -293,6 +293,10 @@
                        "upstream_lost_connections");
     return;
   }
+  this->WatchExchange(connection);
+}
+
+void UpstreamReactor::WatchExchange(const Connection& connection) {
   const int write =
       connection.http.HasOutput() ? static_cast<int>(PollSet::POLL_WRITE) : 0;
   this->poll->SetModes(connection.key, PollSet::POLL_READ | write);
@@ -367,9 +371,7 @@
       return;
     }
   }
-  const int write =
-      connection.http.HasOutput() ? static_cast<int>(PollSet::POLL_WRITE) : 0;
-  this->poll->SetModes(connection.key, PollSet::POLL_READ | write);
+  this->WatchExchange(connection);
 }
 
 bool UpstreamReactor::ReadAnswer(Connection& connection) {
