daemon: hold the fuzz's delays in std::chrono types, NFC

Cause: the longest delay of the router fuzz was a bare number. Change: a duration; the draws and their order are the same.

--- a/unittests/daemon/router_world.cc
+++ b/unittests/daemon/router_world.cc
@@ -39,8 +39,10 @@
 std::uint64_t RouterWorld::Copies() { return this->Draw(20) == 0 ? 2 : 1; }
 
 milliseconds RouterWorld::Delay() {
-  const std::uint64_t longest = this->Draw(20) == 0 ? 300 : this->max_delay_ms;
-  return milliseconds(this->Draw(longest + 1));
+  const milliseconds longest =
+      this->Draw(20) == 0 ? milliseconds(300) : this->longest_delay;
+  return milliseconds(
+      this->Draw(static_cast<std::uint64_t>(longest.count()) + 1));
 }
 
 std::size_t RouterWorld::IndexOfDaemon(const DaemonId& id) const {
@@ -318,7 +320,7 @@
 void RouterWorld::ShakeNetwork(std::uint64_t dice) {
   this->state_of_dice ^= dice;
   this->loss_percent = this->Draw(3) == 0 ? this->Draw(15) : 0;
-  this->max_delay_ms = this->Draw(4) == 0 ? 60 : 3;
+  this->longest_delay = milliseconds(this->Draw(4) == 0 ? 60 : 3);
 }
 
 void RouterWorld::Finish() {
--- a/unittests/daemon/router_world.h
+++ b/unittests/daemon/router_world.h
@@ -172,7 +172,7 @@
   std::uint64_t next_number = 1;
   /// Chance in percent that a message is lost.
   std::uint64_t loss_percent = 0;
-  std::uint64_t max_delay_ms = 3;
+  std::chrono::milliseconds longest_delay{3};
   std::vector<Request> once_requests;
   RouterOracle oracle;
 };
