daemon: share the loop over the routing rings, drop an unused stop

Cause: three loops of the routing thread differed in ring and handler only; its BeginStop was no longer called since a planned stop waits for idle callers; the load tool parsed endpoints on its own and ended with an exception on a wrong one. Change: one function for the loops, the unused path is gone, the load tool uses EndpointFromText.

--- a/include/bamboorack/daemon/routing_thread.h
+++ b/include/bamboorack/daemon/routing_thread.h
@@ -22,8 +22,6 @@
   RoutingThread& operator=(const RoutingThread&) = delete;
 
   void Start();
-  /// Refuses new requests of callers; goes on with all others.
-  void BeginStop();
   /// Returns whether no request is held.
   bool IsIdle() const { return this->is_idle; }
   void Stop();
@@ -34,6 +32,11 @@
   void Run();
   /// Handles what waits in all rings. Returns false if there was nothing.
   bool HandleInputs(MonotonicTime now);
+  /// Lets the router handle a bounded number of the messages in `ring`.
+  template <typename Message>
+  bool HandleSome(BoundedRing<Message>& ring,
+                  RouterActions (Router::*handle)(Message, MonotonicTime),
+                  MonotonicTime now);
   void CarryOut(RouterActions&& actions, MonotonicTime now);
 
   void AnswerCaller(RouterAction& action, MonotonicTime now);
@@ -48,7 +51,6 @@
   Metrics& metrics;
   Router router;
   Wakeup wakeup;
-  std::atomic<bool> must_begin_stop = false;
   std::atomic<bool> is_stopping = false;
   std::atomic<bool> is_idle = true;
   std::thread thread;
--- a/lib/daemon/routing_thread.cc
+++ b/lib/daemon/routing_thread.cc
@@ -31,11 +31,6 @@
   this->thread = std::thread([this] { this->Run(); });
 }
 
-void RoutingThread::BeginStop() {
-  this->must_begin_stop = true;
-  this->wakeup.Notify();
-}
-
 void RoutingThread::Stop() {
   this->is_stopping = true;
   this->wakeup.Notify();
@@ -45,7 +40,6 @@
 void RoutingThread::Run() {
   while (!this->is_stopping) {
     const MonotonicTime now = std::chrono::steady_clock::now();
-    if (this->must_begin_stop.exchange(false)) this->router.BeginStop();
     const bool had_input = this->HandleInputs(now);
     this->CarryOut(this->router.Tick(now), now);
     this->is_idle = this->router.IsIdle();
@@ -55,31 +49,34 @@
   }
 }
 
-bool RoutingThread::HandleInputs(MonotonicTime now) {
+template <typename Message>
+bool RoutingThread::HandleSome(BoundedRing<Message>& ring,
+                               RouterActions (Router::*handle)(Message,
+                                                               MonotonicTime),
+                               MonotonicTime now) {
   bool had_input = false;
-  // Tables come first, so that requests meet the newest owners.
-  while (auto table = this->rings.tables.TryPop()) {
-    this->CarryOut(this->router.OnTable(std::move(*table), now), now);
-    had_input = true;
-  }
-  for (int i = 0; i < kItemsPerTurn; ++i) {
-    auto result = this->rings.upstream_to_routing.TryPop();
-    if (!result) break;
-    this->CarryOut(this->router.OnUpstream(std::move(*result), now), now);
-    had_input = true;
-  }
   for (int i = 0; i < kItemsPerTurn; ++i) {
-    auto message = this->rings.peer_to_routing.TryPop();
+    auto message = ring.TryPop();
     if (!message) break;
-    this->CarryOut(this->router.OnPeer(std::move(*message), now), now);
+    this->CarryOut((this->router.*handle)(std::move(*message), now), now);
     had_input = true;
   }
-  for (int i = 0; i < kItemsPerTurn; ++i) {
-    auto message = this->rings.caller_to_routing.TryPop();
-    if (!message) break;
-    this->CarryOut(this->router.OnCaller(std::move(*message), now), now);
+  return had_input;
+}
+
+bool RoutingThread::HandleInputs(MonotonicTime now) {
+  bool had_input = false;
+  // Tables come first, so that requests meet the newest owners.
+  while (auto table = this->rings.tables.TryPop()) {
+    this->CarryOut(this->router.OnTable(std::move(*table), now), now);
     had_input = true;
   }
+  had_input |= this->HandleSome(this->rings.upstream_to_routing,
+                                &Router::OnUpstream, now);
+  had_input |=
+      this->HandleSome(this->rings.peer_to_routing, &Router::OnPeer, now);
+  had_input |=
+      this->HandleSome(this->rings.caller_to_routing, &Router::OnCaller, now);
   return had_input;
 }
 
--- a/tools/load/main.cc
+++ b/tools/load/main.cc
@@ -4,24 +4,15 @@
 #include <iostream>
 #include <thread>
 
+#include "bamboorack/core/json_fields.h"
 #include "load_worker.h"
 
 namespace {
 
-using bamboorack::Endpoint;
 using bamboorack::load::LoadReport;
 using bamboorack::load::LoadSettings;
 using bamboorack::load::LoadWorker;
 
-Endpoint ParseEndpoint(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    throw CLI::ValidationError("--target", "no port in '" + text + "'");
-  }
-  return {text.substr(0, colon),
-          static_cast<std::uint16_t>(std::stoul(text.substr(colon + 1)))};
-}
-
 void Merge(LoadReport& total, LoadReport&& part) {
   for (const auto& [name, count] : part.outcomes) total.outcomes[name] += count;
   for (const auto& [name, count] : part.reasons) total.reasons[name] += count;
@@ -68,7 +59,12 @@
   int pause_ms = 5;
   int limit_ms = 500;
   app.add_option("--target", targets, "caller endpoint of a daemon")
-      ->required();
+      ->required()
+      ->check([](const std::string& text) {
+        return bamboorack::EndpointFromText(text)
+                   ? std::string()
+                   : "\"" + text + "\" is not an endpoint ADDRESS:PORT";
+      });
   app.add_option("--service", settings.service)->required();
   app.add_option("--rank", rank)
       ->check(CLI::IsMember({"lookup", "once", "bulk"}));
@@ -83,7 +79,7 @@
                  "writes 'id outcome' for each once or bulk request");
   CLI11_PARSE(app, argc, argv);
   for (const std::string& target : targets) {
-    settings.targets.push_back(ParseEndpoint(target));
+    settings.targets.push_back(*bamboorack::EndpointFromText(target));
   }
   settings.rank = *bamboorack::RankFromName(rank);
   settings.pause = std::chrono::milliseconds(pause_ms);
