core, caller, upstream: make the wire protocol a strategy object

Cause: the reactors of callers and upstreams call the native codec directly, so a second front end would need copies of them. Change: CallerProtocol and UpstreamProtocol hold what depends on the wire; BodyReader reads bodies with a length, chunked bodies and bodies that end with the connection. Native peers are served as before; answers of native upstreams still need one Content-Length. Adds the calls that grant and release a range of keys.

--- a/include/bamboorack/caller/caller_codec.h
+++ b/include/bamboorack/caller/caller_codec.h
@@ -3,19 +3,13 @@
 
 #include <Poco/Net/HTTPRequest.h>
 
+#include "bamboorack/caller/caller_protocol.h"
 #include "bamboorack/caller/request_check.h"
 #include "bamboorack/core/http_connection.h"
 #include "bamboorack/core/request.h"
 
 namespace bamboorack::caller {
 
-/// What the form of an answer depends on besides the result.
-struct AnswerForm {
-  /// An answer to HEAD has the headers of the body but no body.
-  bool is_head = false;
-  bool keep_alive = true;
-};
-
 /// Returns the parts of `request` that `CheckRequest` needs.
 RequestHead ToRequestHead(const Poco::Net::HTTPRequest& request);
 
--- a/include/bamboorack/caller/caller_reactor.h
+++ b/include/bamboorack/caller/caller_reactor.h
@@ -17,6 +17,7 @@
 #include "bamboorack/caller/messages.h"
 #include "bamboorack/caller/request_check.h"
 #include "bamboorack/core/bounded_ring.h"
+#include "bamboorack/core/http_body.h"
 #include "bamboorack/core/http_connection.h"
 #include "bamboorack/core/metrics.h"
 #include "bamboorack/core/poll_reactor.h"
@@ -24,8 +25,8 @@
 
 namespace bamboorack::caller {
 
-/// The work of the caller thread. Only `Wake`, `BeginStop` and `StopBy` may be
-/// called from another thread.
+/// The work of the caller thread. Only `BeginDrain`, `BeginStop` and `StopBy`
+/// may be called from another thread.
 class CallerReactor {
  public:
   CallerReactor(const CallerThreadSettings& settings,
@@ -39,6 +40,7 @@
   /// deadline has passed.
   void Run();
 
+  void BeginDrain() { this->drain_begun.store(true); }
   void BeginStop();
   void StopBy(MonotonicTime deadline);
 
@@ -72,6 +74,7 @@
     bool peer_closed = false;
     bool keep_alive = true;
     CheckedRequest checked;
+    BodyReader body;
     MonotonicTime arrived;
     std::size_t reserved_body = 0;
     /// Set while the request is with the routing thread.
@@ -121,6 +124,9 @@
   Step TakeHead(Connection& connection, std::size_t length);
   Step StartBody(Connection& connection);
   Step HandOver(Connection& connection);
+  /// Counts what a body without announced length holds; false if the budget
+  /// is used up.
+  bool ReserveGrowth(Connection& connection);
   /// Refuses before the request is handed over, and counts the reason.
   Step Refuse(Connection& connection, Refusal refusal);
   Step Answer(Connection& connection, const Result& result);
@@ -145,6 +151,7 @@
   std::string id_prefix;
   std::size_t reserved_bodies = 0;
   bool is_stopping = false;
+  std::atomic<bool> drain_begun{false};
   std::atomic<bool> stop_begun{false};
   std::atomic<MonotonicTime::rep> stop_deadline;
 };
--- a/include/bamboorack/caller/caller_thread.h
+++ b/include/bamboorack/caller/caller_thread.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <tl/expected.hpp>
 
+#include "bamboorack/caller/caller_protocol.h"
 #include "bamboorack/caller/messages.h"
 #include "bamboorack/caller/request_check.h"
 #include "bamboorack/core/bounded_ring.h"
@@ -21,6 +22,8 @@
   /// Port 0 lets the system choose; see `CallerThread::Port`.
   Endpoint listen;
   RequestLimits limits;
+  /// How requests are read and answers are written.
+  std::shared_ptr<const CallerProtocol> protocol = MakeNativeProtocol();
   /// A connection without a request, without progress of a body or without
   /// progress of an answer is closed after this time.
   std::chrono::milliseconds idle_timeout{60'000};
@@ -54,6 +57,10 @@
   /// Returns the port that the listener is bound to, 0 before `Start`.
   std::uint16_t Port() const;
 
+  /// From now on each answer tells its caller to close the connection. New
+  /// connections are still accepted. Does not wait.
+  void BeginDrain();
+
   /// Stops accepting connections and closes those that stay idle. A request
   /// whose first byte has arrived is still served; its connection is then
   /// closed. Does not wait.
--- a/include/bamboorack/caller/request_check.h
+++ b/include/bamboorack/caller/request_check.h
@@ -6,6 +6,7 @@
 #include <tl/expected.hpp>
 #include <vector>
 
+#include "bamboorack/core/http_body.h"
 #include "bamboorack/core/request.h"
 #include "bamboorack/core/time.h"
 
@@ -36,6 +37,9 @@
   /// the rank once forbids.
   Request request;
   std::size_t body_length = 0;
+  /// With `kChunked` the length is not known and `body_limit` holds.
+  BodyFraming framing = BodyFraming::kLength;
+  std::size_t body_limit = RequestLimits{}.bulk_body;
   bool expects_continue = false;
 };
 
--- a/include/bamboorack/core/request.h
+++ b/include/bamboorack/core/request.h
@@ -2,8 +2,10 @@
 #define BAMBOORACK_CORE_REQUEST_H_
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -41,7 +43,9 @@
   Ending ending = Ending::kNotRun;
   Reason reason = Reason::kMalformedRequest;
   /// Names the thing and the value that were wrong. May be empty.
-  std::string detail;
+  std::string detail{};
+  /// When the caller may come back with hope of being served. Empty if unknown.
+  std::optional<std::chrono::milliseconds> retry_after{};
 };
 
 struct Header {
@@ -66,6 +70,12 @@
   MonotonicTime deadline;
   std::string content_type;
   Body body;
+  /// The next three are set by front ends that route by host and path.
+  std::string host{};
+  /// Path and query as sent.
+  std::string target{};
+  /// Headers to pass on.
+  std::vector<Header> headers{};
 };
 
 /// The whole answer of an upstream.
--- a/include/bamboorack/upstream/exchange.h
+++ b/include/bamboorack/upstream/exchange.h
@@ -11,7 +11,7 @@
 #include "bamboorack/core/http_text.h"
 #include "bamboorack/core/time.h"
 #include "bamboorack/upstream/messages.h"
-#include "bamboorack/upstream/upstream_codec.h"
+#include "bamboorack/upstream/upstream_protocol.h"
 
 namespace bamboorack::upstream {
 
@@ -62,7 +62,8 @@
 
   virtual Lane GetLane() const = 0;
   virtual const Endpoint& Target() const = 0;
-  virtual HttpBytes Encode() const = 0;
+  /// Encodes what is written at `now`.
+  virtual HttpBytes Encode(MonotonicTime now) const = 0;
   /// Nothing is written after this time.
   virtual MonotonicTime SendBefore() const = 0;
   /// The wait for the answer ends at this time.
@@ -83,12 +84,15 @@
   }
 };
 
-/// Sends a request; ends with a `DispatchResult`.
-std::unique_ptr<Exchange> MakeExchange(Dispatch dispatch);
+/// Sends a request; ends with a `DispatchResult`. `protocol` must outlive the
+/// exchange.
+std::unique_ptr<Exchange> MakeExchange(Dispatch dispatch,
+                                       const UpstreamProtocol& protocol);
 
 /// Sends a control call; ends with a `ControlResult`, which goes to the routing
 /// thread for settle calls and to the control thread for all others.
-std::unique_ptr<Exchange> MakeExchange(ControlCall call);
+std::unique_ptr<Exchange> MakeExchange(ControlCall call,
+                                       const UpstreamProtocol& protocol);
 
 }  // namespace bamboorack::upstream
 
--- a/include/bamboorack/upstream/messages.h
+++ b/include/bamboorack/upstream/messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "bamboorack/core/ids.h"
+#include "bamboorack/core/key_range.h"
 #include "bamboorack/core/record.h"
 #include "bamboorack/core/request.h"
 #include "bamboorack/core/time.h"
@@ -66,8 +67,27 @@
   UpstreamInstance instance{};
 };
 
+/// Grants the keys of `range` for `lease`, counted from the arrival of the
+/// call. For upstreams that have no clock reading to echo.
+struct RangeGrantCall {
+  KeyRange range;
+  FencingToken token;
+  std::chrono::milliseconds lease{0};
+  /// What the last holder returned when it released the keys. Empty if there
+  /// is none; the new holder then starts cold.
+  Handover handover{};
+};
+
+/// Takes the keys of `range` back. The upstream answers once no work on them
+/// runs.
+struct RangeReleaseCall {
+  KeyRange range;
+  FencingToken token;
+};
+
 using ControlRequest =
-    std::variant<ClockCall, FenceCall, GrantCall, RevokeCall, SettleCall>;
+    std::variant<ClockCall, FenceCall, GrantCall, RevokeCall, SettleCall,
+                 RangeGrantCall, RangeReleaseCall>;
 
 /// One call on an upstream's control interface.
 struct ControlCall {
@@ -110,6 +130,12 @@
   SettleState state = SettleState::kRunning;
 };
 
+struct RangeGrantAnswer {};
+
+struct RangeReleaseAnswer {
+  Handover handover;
+};
+
 /// Why a control call failed.
 enum class ControlError : std::uint8_t {
   /// No answer before the deadline, or the connection failed.
@@ -124,8 +150,9 @@
   kBadAnswer,
 };
 
-using ControlAnswer = std::variant<ClockAnswer, FenceAnswer, GrantAnswer,
-                                   RevokeAnswer, SettleAnswer>;
+using ControlAnswer =
+    std::variant<ClockAnswer, FenceAnswer, GrantAnswer, RevokeAnswer,
+                 SettleAnswer, RangeGrantAnswer, RangeReleaseAnswer>;
 
 /// The outcome of a `ControlCall` with the same id.
 struct ControlResult {
@@ -146,6 +173,9 @@
   /// Nothing is written after this time; the result is then "not run".
   MonotonicTime send_before;
   Request request;
+  /// The time by which the upstream is told to be done, on this process's
+  /// clock. For upstreams whose clock is not known.
+  MonotonicTime finish_before{};
 };
 
 /// Ends the wait for a dispatch and tells the upstream to stop.
--- a/include/bamboorack/upstream/upstream_codec.h
+++ b/include/bamboorack/upstream/upstream_codec.h
@@ -8,6 +8,7 @@
 #include <tl/expected.hpp>
 #include <vector>
 
+#include "bamboorack/core/http_body.h"
 #include "bamboorack/core/http_text.h"
 #include "bamboorack/core/request.h"
 #include "bamboorack/upstream/messages.h"
@@ -29,6 +30,7 @@
   int status = 0;
   std::vector<Header> headers;
   std::size_t body_length = 0;
+  BodyFraming framing = BodyFraming::kLength;
   bool keep_alive = true;
 
   /// Returns the value of the first header called `name`, or null.
@@ -42,6 +44,10 @@
                                                        bool answers_head,
                                                        std::size_t max_body);
 
+/// The same, but a body may also be chunked or end with the connection.
+tl::expected<AnswerHead, std::string> DecodeAnswerHeadAnyLength(
+    std::string_view head, bool answers_head, std::size_t max_body);
+
 /// Decodes the answer to `request`.
 tl::expected<ControlAnswer, ControlError> DecodeControlAnswer(
     const ControlRequest& request, int status, const std::string& body);
--- a/include/bamboorack/upstream/upstream_reactor.h
+++ b/include/bamboorack/upstream/upstream_reactor.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -58,6 +59,11 @@
     /// Bytes written before the exchange began.
     std::uint64_t written_before = 0;
     std::optional<AnswerHead> answer;
+    /// Valid while `answer` is set.
+    BodyReader body;
+    /// How long the upstream keeps the connection without a request; the
+    /// setting holds if it did not say.
+    std::optional<std::chrono::milliseconds> idle_limit;
   };
 
   /// The connections of one lane to one upstream.
@@ -120,6 +126,8 @@
   bool ReadAnswer(Connection& connection);
   bool TakeAnswerHead(Connection& connection);
   void TakeAnswer(Connection& connection);
+  /// Ends the exchange for a body that cannot be completed.
+  void FailBody(Connection& connection);
   /// Ends the exchange without an answer and closes the connection.
   void FailExchange(Connection& connection, Failure failure,
                     std::string_view counter);
--- a/include/bamboorack/upstream/upstream_thread.h
+++ b/include/bamboorack/upstream/upstream_thread.h
@@ -11,6 +11,7 @@
 #include "bamboorack/core/metrics.h"
 #include "bamboorack/core/time.h"
 #include "bamboorack/upstream/messages.h"
+#include "bamboorack/upstream/upstream_protocol.h"
 
 namespace bamboorack::upstream {
 
@@ -25,6 +26,7 @@
   std::size_t max_waiting = 1024;
   /// Larger answers are refused with `upstream_bad_answer`, in bytes.
   std::size_t max_answer_body = 67'108'864;
+  std::shared_ptr<const UpstreamProtocol> protocol = MakeNativeProtocol();
 };
 
 /// Serves all connections to upstreams with one thread. Connections are kept
--- a/lib/caller/caller_codec.cc
+++ b/lib/caller/caller_codec.cc
@@ -77,6 +77,19 @@
   return std::make_shared<const std::string>(text.str());
 }
 
+class NativeProtocol : public CallerProtocol {
+ public:
+  tl::expected<CheckedRequest, Refusal> Check(
+      const RequestHead& head, const RequestLimits& limits,
+      MonotonicTime now) const override {
+    return CheckRequest(head, limits, now);
+  }
+  HttpBytes Encode(const Result& result,
+                   const AnswerForm& form) const override {
+    return EncodeAnswer(result, form);
+  }
+};
+
 }  // namespace
 
 RequestHead ToRequestHead(const Poco::Net::HTTPRequest& request) {
@@ -105,4 +118,8 @@
   return {"HTTP/1.1 100 Continue\r\n\r\n", nullptr};
 }
 
+std::shared_ptr<const CallerProtocol> MakeNativeProtocol() {
+  return std::make_shared<const NativeProtocol>();
+}
+
 }  // namespace bamboorack::caller
--- a/lib/caller/caller_reactor.cc
+++ b/lib/caller/caller_reactor.cc
@@ -37,6 +37,8 @@
 // The routing thread answers by the request's deadline; this covers its delay.
 constexpr milliseconds kAnswerGrace{1'000};
 constexpr std::size_t kMaxPipelinedInput = 16'384;
+// Body bytes that wait in the input between two turns of the reader.
+constexpr std::size_t kMaxBodyInput = 65'536;
 constexpr MonotonicTime::rep kNoDeadline =
     MonotonicTime::max().time_since_epoch().count();
 
@@ -204,7 +206,7 @@
 
 std::size_t CallerReactor::InputLimit(const Connection& connection) const {
   if (connection.phase == Phase::kReadingBody) {
-    return connection.checked.body_length;
+    return kMaxBodyInput;
   }
   if (connection.phase == Phase::kServing) return kMaxPipelinedInput;
   return this->settings.limits.head + 1;
@@ -291,8 +293,8 @@
   }
   connection.checked.request.method = parsed->getMethod();
   connection.keep_alive = parsed->getKeepAlive();
-  auto checked = CheckRequest(ToRequestHead(*parsed), this->settings.limits,
-                              connection.arrived);
+  auto checked = this->settings.protocol->Check(
+      ToRequestHead(*parsed), this->settings.limits, connection.arrived);
   if (!checked) {
     // The end of the body is not known for certain, so nothing after it can
     // be read as a request.
@@ -305,7 +307,8 @@
 }
 
 CallerReactor::Step CallerReactor::StartBody(Connection& connection) {
-  const std::size_t length = connection.checked.body_length;
+  const CheckedRequest& checked = connection.checked;
+  const std::size_t length = checked.body_length;
   if (this->reserved_bodies + length > this->settings.body_budget) {
     connection.keep_alive = false;
     return this->Refuse(connection, {Ending::kNotRun, Reason::kQueueFull,
@@ -314,10 +317,11 @@
   }
   this->reserved_bodies += length;
   connection.reserved_body = length;
+  connection.body = BodyReader({checked.framing, length},
+                               std::max(length, checked.body_limit));
   connection.phase = Phase::kReadingBody;
   this->SetBodyDeadline(connection);
-  if (connection.checked.expects_continue &&
-      connection.http.Input().size() < length) {
+  if (checked.expects_continue && connection.http.Input().size() < length) {
     connection.http.Queue(EncodeContinue());
     if (connection.http.Write() != IoStatus::kOk) return Step::kClose;
   }
@@ -325,23 +329,43 @@
 }
 
 CallerReactor::Step CallerReactor::AdvanceBody(Connection& connection) {
-  std::string& input = connection.http.Input();
-  const std::size_t length = connection.checked.body_length;
-  if (input.size() < length) {
-    if (!connection.peer_closed) return Step::kWait;
-    this->metrics.Count("caller_early_closes");
-    return Step::kClose;
+  const BodyReader::Status status =
+      connection.body.Feed(connection.http.Input());
+  if (status == BodyReader::Status::kComplete) {
+    std::string body = connection.body.Take();
+    connection.checked.request.body =
+        body.empty() ? EmptyBody()
+                     : std::make_shared<const std::string>(std::move(body));
+    return this->HandOver(connection);
+  }
+  if (status == BodyReader::Status::kMalformed) {
+    connection.keep_alive = false;
+    return this->Refuse(connection, {Ending::kNotRun, Reason::kMalformedRequest,
+                                     "invalid chunked body"});
   }
-  Request& request = connection.checked.request;
-  if (length == 0) {
-    request.body = EmptyBody();
-  } else {
-    std::string rest = input.substr(length);
-    input.resize(length);
-    request.body = std::make_shared<const std::string>(std::move(input));
-    input = std::move(rest);
+  if (status == BodyReader::Status::kTooLarge) {
+    connection.keep_alive = false;
+    return this->Refuse(connection, {Ending::kNotRun, Reason::kBodyTooLarge,
+                                     "chunked body is too large"});
+  }
+  if (!this->ReserveGrowth(connection)) {
+    connection.keep_alive = false;
+    return this->Refuse(connection, {Ending::kNotRun, Reason::kQueueFull,
+                                     "no room for a chunked body"});
   }
-  return this->HandOver(connection);
+  if (!connection.peer_closed) return Step::kWait;
+  this->metrics.Count("caller_early_closes");
+  return Step::kClose;
+}
+
+bool CallerReactor::ReserveGrowth(Connection& connection) {
+  const std::size_t held = connection.body.Size();
+  if (held <= connection.reserved_body) return true;
+  const std::size_t growth = held - connection.reserved_body;
+  if (this->reserved_bodies + growth > this->settings.body_budget) return false;
+  this->reserved_bodies += growth;
+  connection.reserved_body = held;
+  return true;
 }
 
 CallerReactor::Step CallerReactor::HandOver(Connection& connection) {
@@ -376,10 +400,12 @@
 CallerReactor::Step CallerReactor::Answer(Connection& connection,
                                           const Result& result) {
   this->ReleaseBody(connection);
-  if (this->is_stopping) connection.keep_alive = false;
+  if (this->is_stopping || this->drain_begun.load()) {
+    connection.keep_alive = false;
+  }
   const AnswerForm form{connection.checked.request.method == "HEAD",
                         connection.keep_alive};
-  connection.http.Queue(EncodeAnswer(result, form));
+  connection.http.Queue(this->settings.protocol->Encode(result, form));
   connection.phase = Phase::kWritingAnswer;
   this->SetTimeout(connection, this->settings.idle_timeout);
   if (connection.http.Write() != IoStatus::kOk) return Step::kClose;
--- a/lib/caller/caller_thread.cc
+++ b/lib/caller/caller_thread.cc
@@ -48,6 +48,8 @@
   return this->reactor->reactor.Port();
 }
 
+void CallerThread::BeginDrain() { this->reactor->reactor.BeginDrain(); }
+
 void CallerThread::BeginStop() { this->reactor->reactor.BeginStop(); }
 
 void CallerThread::Stop(MonotonicTime deadline) {
--- a/lib/upstream/control_results.cc
+++ b/lib/upstream/control_results.cc
@@ -12,8 +12,9 @@
   using Handler = void (GroupAuthority::*)(
       const View&, UpstreamLink&, const PendingCall&, const ControlAnswer&);
   static constexpr std::array<Handler, std::variant_size_v<ControlAnswer>>
-      kHandlers = {&GroupAuthority::OnClock, &GroupAuthority::OnFence,
-                   &GroupAuthority::OnGrant, &GroupAuthority::OnRevoke,
+      kHandlers = {&GroupAuthority::OnClock,  &GroupAuthority::OnFence,
+                   &GroupAuthority::OnGrant,  &GroupAuthority::OnRevoke,
+                   &GroupAuthority::OnSettle, &GroupAuthority::OnSettle,
                    &GroupAuthority::OnSettle};
   // `ControlRequest` has its alternatives in the same order, so an answer of
   // another kind than its call has another index.
--- a/lib/upstream/exchange.cc
+++ b/lib/upstream/exchange.cc
@@ -37,7 +37,7 @@
 // Indexed by the alternatives of `ControlRequest`.
 constexpr std::array<Lane, std::variant_size_v<ControlRequest>> kControlLanes =
     {Lane::kControl, Lane::kControl, Lane::kControl, Lane::kRevoke,
-     Lane::kSettle};
+     Lane::kSettle,  Lane::kControl, Lane::kRevoke};
 
 const FailureRow& RowOf(Failure failure) {
   return kFailures.at(static_cast<std::size_t>(failure));
@@ -46,14 +46,12 @@
 /// Tells an upstream to stop work. Nobody waits for its end.
 class CancelExchange : public Exchange {
  public:
-  CancelExchange(RequestId id, Endpoint target, MonotonicTime end)
-      : request(std::move(id)), endpoint(std::move(target)), deadline(end) {}
+  CancelExchange(HttpBytes order, Endpoint target, MonotonicTime end)
+      : bytes(std::move(order)), endpoint(std::move(target)), deadline(end) {}
 
   Lane GetLane() const override { return Lane::kSettle; }
   const Endpoint& Target() const override { return this->endpoint; }
-  HttpBytes Encode() const override {
-    return EncodeCancel(this->request, this->endpoint);
-  }
+  HttpBytes Encode(MonotonicTime /*now*/) const override { return this->bytes; }
   MonotonicTime SendBefore() const override { return this->deadline; }
   MonotonicTime Deadline() const override { return this->deadline; }
   void Succeed(AnswerHead /*head*/, Body /*body*/,
@@ -62,18 +60,21 @@
             ResultOutbox& /*outbox*/) override {}
 
  private:
-  RequestId request;
+  HttpBytes bytes;
   Endpoint endpoint;
   MonotonicTime deadline;
 };
 
 class DispatchExchange : public Exchange {
  public:
-  explicit DispatchExchange(Dispatch order) : dispatch(std::move(order)) {}
+  DispatchExchange(Dispatch order, const UpstreamProtocol& wire)
+      : dispatch(std::move(order)), protocol(wire) {}
 
   Lane GetLane() const override { return Lane::kData; }
   const Endpoint& Target() const override { return this->dispatch.endpoint; }
-  HttpBytes Encode() const override { return EncodeDispatch(this->dispatch); }
+  HttpBytes Encode(MonotonicTime now) const override {
+    return this->protocol.EncodeDispatch(this->dispatch, now);
+  }
   MonotonicTime SendBefore() const override {
     return this->dispatch.send_before;
   }
@@ -85,13 +86,13 @@
   }
   std::optional<DispatchId> Id() const override { return this->dispatch.id; }
   bool Matches(const AnswerHead& head) const override {
-    return IsAnswerTo(head, this->dispatch.request.id);
+    return this->protocol.IsAnswerTo(head, this->dispatch.request.id);
   }
 
   void Succeed(AnswerHead head, Body body, ResultOutbox& outbox) override {
-    outbox.Add(
-        DispatchResult{this->dispatch.id,
-                       DecodeDispatchAnswer(std::move(head), std::move(body))});
+    outbox.Add(DispatchResult{
+        this->dispatch.id,
+        this->protocol.DecodeDispatchAnswer(std::move(head), std::move(body))});
   }
 
   void Fail(Failure failure, bool was_written, ResultOutbox& outbox) override {
@@ -103,31 +104,38 @@
   }
 
   std::unique_ptr<Exchange> MakeCancel(MonotonicTime deadline) override {
-    return std::make_unique<CancelExchange>(this->dispatch.request.id,
+    auto bytes = this->protocol.EncodeCancel(this->dispatch.request.id,
+                                             this->dispatch.endpoint);
+    if (!bytes) return nullptr;
+    return std::make_unique<CancelExchange>(std::move(*bytes),
                                             this->dispatch.endpoint, deadline);
   }
 
  private:
   Dispatch dispatch;
+  const UpstreamProtocol& protocol;
 };
 
 class ControlExchange : public Exchange {
  public:
-  explicit ControlExchange(ControlCall order) : call(std::move(order)) {}
+  ControlExchange(ControlCall order, const UpstreamProtocol& wire)
+      : call(std::move(order)), protocol(wire) {}
 
   Lane GetLane() const override {
     return kControlLanes.at(this->call.request.index());
   }
   const Endpoint& Target() const override { return this->call.endpoint; }
-  HttpBytes Encode() const override {
-    return EncodeControl(this->call.request, this->call.endpoint);
+  HttpBytes Encode(MonotonicTime /*now*/) const override {
+    return this->protocol.EncodeControl(this->call.request,
+                                        this->call.endpoint);
   }
   MonotonicTime SendBefore() const override { return this->call.deadline; }
   MonotonicTime Deadline() const override { return this->call.deadline; }
 
   void Succeed(AnswerHead head, Body body, ResultOutbox& outbox) override {
-    this->Finish(DecodeControlAnswer(this->call.request, head.status, *body),
-                 outbox);
+    this->Finish(
+        this->protocol.DecodeControlAnswer(this->call.request, head, *body),
+        outbox);
   }
 
   void Fail(Failure failure, bool /*was_written*/,
@@ -147,6 +155,7 @@
   }
 
   ControlCall call;
+  const UpstreamProtocol& protocol;
 };
 
 template <typename Item>
@@ -177,12 +186,14 @@
   return is_routing_empty && is_control_empty;
 }
 
-std::unique_ptr<Exchange> MakeExchange(Dispatch dispatch) {
-  return std::make_unique<DispatchExchange>(std::move(dispatch));
+std::unique_ptr<Exchange> MakeExchange(Dispatch dispatch,
+                                       const UpstreamProtocol& protocol) {
+  return std::make_unique<DispatchExchange>(std::move(dispatch), protocol);
 }
 
-std::unique_ptr<Exchange> MakeExchange(ControlCall call) {
-  return std::make_unique<ControlExchange>(std::move(call));
+std::unique_ptr<Exchange> MakeExchange(ControlCall call,
+                                       const UpstreamProtocol& protocol) {
+  return std::make_unique<ControlExchange>(std::move(call), protocol);
 }
 
 }  // namespace bamboorack::upstream
--- a/lib/upstream/upstream_codec.cc
+++ b/lib/upstream/upstream_codec.cc
@@ -16,6 +16,7 @@
 #include <variant>
 
 #include "bamboorack/core/http_connection.h"
+#include "bamboorack/upstream/upstream_protocol.h"
 
 namespace bamboorack::upstream {
 namespace {
@@ -81,6 +82,27 @@
   return json;
 }
 
+Object EncodeRange(const KeyRange& range, FencingToken token) {
+  Object json(Poco::JSON_PRESERVE_KEY_ORDER);
+  json.set("first", range.first.value);
+  json.set("last", range.last.value);
+  json.set("token", token.value);
+  return json;
+}
+
+Object EncodeRangeGrant(const ControlRequest& request) {
+  const auto& call = std::get<RangeGrantCall>(request);
+  Object json = EncodeRange(call.range, call.token);
+  json.set("lease_ms", call.lease.count());
+  json.set("handover", call.handover.value);
+  return json;
+}
+
+Object EncodeRangeRelease(const ControlRequest& request) {
+  const auto& call = std::get<RangeReleaseCall>(request);
+  return EncodeRange(call.range, call.token);
+}
+
 /// Reads the fields of a JSON object and remembers whether one was missing or
 /// of another type.
 class FieldReader {
@@ -175,6 +197,14 @@
   return GrantAnswer{json.Reading("clock_ms"), json.Flag("draining")};
 }
 
+ControlAnswer DecodeRangeGrant(FieldReader& /*json*/) {
+  return RangeGrantAnswer{};
+}
+
+ControlAnswer DecodeRangeRelease(FieldReader& json) {
+  return RangeReleaseAnswer{Handover(json.Text("handover"))};
+}
+
 ControlAnswer DecodeSettle(FieldReader& json) {
   constexpr std::array<std::pair<std::string_view, SettleState>, 3> kStates = {
       std::pair{"done", SettleState::kDone},
@@ -198,12 +228,16 @@
 };
 
 // Indexed by the alternatives of `ControlRequest`.
-constexpr std::array<ControlRow, 5> kControls = {
+constexpr std::array<ControlRow, 7> kControls = {
     ControlRow{"GET", "/control/clock", &EncodeClock, &DecodeClock},
     ControlRow{"POST", "/control/fence", &EncodeFence, &DecodeFence},
     ControlRow{"POST", "/control/grant", &EncodeGrant, &DecodeGrant},
     ControlRow{"POST", "/control/revoke", &EncodeRevoke, nullptr},
-    ControlRow{"POST", "/control/settle", &EncodeSettle, &DecodeSettle}};
+    ControlRow{"POST", "/control/settle", &EncodeSettle, &DecodeSettle},
+    ControlRow{"POST", "/control/grant-range", &EncodeRangeGrant,
+               &DecodeRangeGrant},
+    ControlRow{"POST", "/control/release-range", &EncodeRangeRelease,
+               &DecodeRangeRelease}};
 static_assert(kControls.size() == std::variant_size_v<ControlRequest>);
 
 struct ControlStatusRow {
@@ -267,6 +301,64 @@
   return status < 200 || status == 204 || status == 304;
 }
 
+/// Reads all but the framing.
+tl::expected<AnswerHead, std::string> ParseAnswerHead(std::string_view head) {
+  const auto parsed = ParseResponseHead(head);
+  if (!parsed) return tl::make_unexpected(parsed.error());
+  AnswerHead answer;
+  answer.headers = HeadersOf(*parsed);
+  answer.keep_alive = parsed->getKeepAlive();
+  const auto status = ParseStatus(head);
+  if (!status) {
+    return tl::make_unexpected(std::string("status is not in 100 to 599"));
+  }
+  answer.status = *status;
+  return answer;
+}
+
+tl::expected<AnswerHead, std::string> WithFrame(AnswerHead answer,
+                                                std::size_t max_body) {
+  const auto frame = FrameOf(answer.headers, {BodyFraming::kUntilClose, 0});
+  if (!frame) return tl::make_unexpected(frame.error());
+  if (frame->length > max_body) {
+    return tl::make_unexpected("invalid Content-Length " +
+                               std::to_string(frame->length));
+  }
+  answer.framing = frame->framing;
+  answer.body_length = frame->length;
+  if (frame->framing == BodyFraming::kUntilClose) answer.keep_alive = false;
+  return answer;
+}
+
+class NativeProtocol : public UpstreamProtocol {
+ public:
+  HttpBytes EncodeDispatch(const Dispatch& dispatch,
+                           MonotonicTime /*now*/) const override {
+    return upstream::EncodeDispatch(dispatch);
+  }
+  HttpBytes EncodeControl(const ControlRequest& request,
+                          const Endpoint& endpoint) const override {
+    return upstream::EncodeControl(request, endpoint);
+  }
+  std::optional<HttpBytes> EncodeCancel(
+      const RequestId& request, const Endpoint& endpoint) const override {
+    return upstream::EncodeCancel(request, endpoint);
+  }
+  bool AllowsUnknownLength() const override { return false; }
+  bool IsAnswerTo(const AnswerHead& head,
+                  const RequestId& request) const override {
+    return upstream::IsAnswerTo(head, request);
+  }
+  Result DecodeDispatchAnswer(AnswerHead head, Body body) const override {
+    return upstream::DecodeDispatchAnswer(std::move(head), std::move(body));
+  }
+  Decoded DecodeControlAnswer(const ControlRequest& request,
+                              const AnswerHead& head,
+                              const std::string& body) const override {
+    return upstream::DecodeControlAnswer(request, head.status, body);
+  }
+};
+
 }  // namespace
 
 HttpBytes EncodeControl(const ControlRequest& request,
@@ -319,35 +411,28 @@
 tl::expected<AnswerHead, std::string> DecodeAnswerHead(std::string_view head,
                                                        bool answers_head,
                                                        std::size_t max_body) {
-  const auto parsed = ParseResponseHead(head);
-  if (!parsed) return tl::make_unexpected(parsed.error());
-  AnswerHead answer;
-  answer.headers = HeadersOf(*parsed);
-  answer.keep_alive = parsed->getKeepAlive();
-  const auto status = ParseStatus(head);
-  if (!status) {
-    return tl::make_unexpected(std::string("status is not in 100 to 599"));
-  }
-  answer.status = *status;
-  if (answer.Find("Transfer-Encoding") != nullptr) {
+  auto answer = ParseAnswerHead(head);
+  if (!answer) return answer;
+  if (answer->Find("Transfer-Encoding") != nullptr) {
     return tl::make_unexpected(std::string("Transfer-Encoding in the answer"));
   }
-  if (answers_head || HasNoBody(answer.status)) return answer;
+  if (answers_head || HasNoBody(answer->status)) return answer;
   const auto lengths = std::count_if(
-      answer.headers.begin(), answer.headers.end(), [](const Header& header) {
+      answer->headers.begin(), answer->headers.end(), [](const Header& header) {
         return IsSameHeaderName(header.name, "Content-Length");
       });
   if (lengths != 1) {
     return tl::make_unexpected("answer has " + std::to_string(lengths) +
                                " Content-Length headers, needs 1");
   }
-  const std::string& text = *answer.Find("Content-Length");
-  const auto length = ParseDecimal(text);
-  if (!length || *length > max_body) {
-    return tl::make_unexpected("invalid Content-Length " + text);
-  }
-  answer.body_length = *length;
-  return answer;
+  return WithFrame(std::move(*answer), max_body);
+}
+
+tl::expected<AnswerHead, std::string> DecodeAnswerHeadAnyLength(
+    std::string_view head, bool answers_head, std::size_t max_body) {
+  auto answer = ParseAnswerHead(head);
+  if (!answer || answers_head || HasNoBody(answer->status)) return answer;
+  return WithFrame(std::move(*answer), max_body);
 }
 
 Decoded DecodeControlAnswer(const ControlRequest& request, int status,
@@ -385,4 +470,8 @@
   return id == nullptr || *id == request.value;
 }
 
+std::shared_ptr<const UpstreamProtocol> MakeNativeProtocol() {
+  return std::make_shared<const NativeProtocol>();
+}
+
 }  // namespace bamboorack::upstream
--- a/lib/upstream/upstream_reactor.cc
+++ b/lib/upstream/upstream_reactor.cc
@@ -32,6 +32,27 @@
 
 bool IsInterim(int status) { return status >= 100 && status < 200; }
 
+/// Returns how long an idle connection may be used again, from the
+/// `Keep-Alive: timeout=N` of an answer, less a margin for a close that is on
+/// its way.
+std::optional<milliseconds> IdleLimitOf(const AnswerHead& head) {
+  constexpr milliseconds kMargin{1'000};
+  constexpr std::string_view kParameter = "timeout=";
+  const std::string* value = head.Find("Keep-Alive");
+  if (value == nullptr) return std::nullopt;
+  const std::size_t start = value->find(kParameter);
+  if (start == std::string::npos) return std::nullopt;
+  const std::size_t begin = start + kParameter.size();
+  const std::size_t end = value->find_first_not_of("0123456789", begin);
+  const auto seconds =
+      ParseDecimal(std::string_view(*value).substr(begin, end - begin));
+  if (!seconds) return std::nullopt;
+  return std::max(
+      std::chrono::duration_cast<milliseconds>(std::chrono::seconds(*seconds)) -
+          kMargin,
+      milliseconds(0));
+}
+
 }  // namespace
 
 // Indexed by phase.
@@ -114,7 +135,7 @@
   }
   while (auto message = this->in.TryPop()) {
     if (auto* dispatch = std::get_if<Dispatch>(&*message)) {
-      MakeExchange(std::move(*dispatch))
+      MakeExchange(std::move(*dispatch), *this->settings.protocol)
           ->Fail(Failure::kStopping, false, this->outbox);
     }
   }
@@ -134,7 +155,8 @@
 }
 
 void UpstreamReactor::TakeMessage::operator()(Dispatch dispatch) const {
-  this->reactor.Submit(MakeExchange(std::move(dispatch)));
+  this->reactor.Submit(
+      MakeExchange(std::move(dispatch), *this->reactor.settings.protocol));
 }
 
 void UpstreamReactor::TakeMessage::operator()(
@@ -143,7 +165,8 @@
 }
 
 void UpstreamReactor::TakeMessage::operator()(ControlCall call) const {
-  this->reactor.Submit(MakeExchange(std::move(call)));
+  this->reactor.Submit(
+      MakeExchange(std::move(call), *this->reactor.settings.protocol));
 }
 
 void UpstreamReactor::TakeMessages() {
@@ -272,7 +295,7 @@
 
 void UpstreamReactor::Begin(Connection& connection,
                             std::unique_ptr<Exchange> exchange) {
-  HttpBytes request = exchange->Encode();
+  HttpBytes request = exchange->Encode(steady_clock::now());
   // Checked after the encoding, directly before the first write: a pause of
   // this thread in between must not let an old request out.
   if (steady_clock::now() > exchange->SendBefore()) {
@@ -305,8 +328,10 @@
 void UpstreamReactor::Park(Connection& connection) {
   connection.phase = Phase::kIdle;
   this->poll->SetModes(connection.key, PollSet::POLL_READ);
-  this->poll->SetDeadline(connection.key,
-                          steady_clock::now() + this->settings.idle_timeout);
+  const milliseconds idle_limit =
+      std::min(this->settings.idle_timeout,
+               connection.idle_limit.value_or(this->settings.idle_timeout));
+  this->poll->SetDeadline(connection.key, steady_clock::now() + idle_limit);
   this->pools[connection.pool].idle.push_back(connection.key);
 }
 
@@ -380,13 +405,28 @@
     if (!this->TakeAnswerHead(connection)) return false;
     if (connection.http.Input().size() == before) return true;
   }
-  if (connection.http.Input().size() < connection.answer->body_length) {
-    return true;
+  BodyReader::Status status = connection.body.Feed(connection.http.Input());
+  if (status == BodyReader::Status::kIncomplete) {
+    if (!connection.peer_closed) return true;
+    status = connection.body.FeedEnd();
+  }
+  if (status == BodyReader::Status::kComplete) {
+    this->TakeAnswer(connection);
+  } else {
+    this->FailBody(connection);
   }
-  this->TakeAnswer(connection);
   return false;
 }
 
+void UpstreamReactor::FailBody(Connection& connection) {
+  if (connection.peer_closed) {
+    this->FailExchange(connection, Failure::kConnectionLost,
+                       "upstream_lost_connections");
+    return;
+  }
+  this->FailExchange(connection, Failure::kBadAnswer, "upstream_bad_answers");
+}
+
 bool UpstreamReactor::TakeAnswerHead(Connection& connection) {
   std::string& input = connection.http.Input();
   const auto length = FindHeadEnd(input);
@@ -395,9 +435,12 @@
     return false;
   }
   if (!length) return true;
-  auto head = DecodeAnswerHead(std::string_view(input).substr(0, *length),
-                               connection.exchange->IsHead(),
-                               this->settings.max_answer_body);
+  const auto decode = this->settings.protocol->AllowsUnknownLength()
+                          ? &DecodeAnswerHeadAnyLength
+                          : &DecodeAnswerHead;
+  auto head =
+      decode(std::string_view(input).substr(0, *length),
+             connection.exchange->IsHead(), this->settings.max_answer_body);
   if (!head) {
     this->FailExchange(connection, Failure::kBadAnswer, "upstream_bad_answers");
     return false;
@@ -408,27 +451,30 @@
     return false;
   }
   input.erase(0, *length);
-  if (!IsInterim(head->status)) connection.answer = std::move(*head);
+  if (IsInterim(head->status)) return true;
+  connection.body = BodyReader({head->framing, head->body_length},
+                               this->settings.max_answer_body);
+  connection.answer = std::move(*head);
   return true;
 }
 
 void UpstreamReactor::TakeAnswer(Connection& connection) {
   AnswerHead head = std::move(*connection.answer);
   connection.answer.reset();
-  std::string body = std::move(connection.http.Input());
-  std::string rest = body.substr(head.body_length);
-  body.resize(head.body_length);
-  connection.http.Input().clear();
-  const bool has_rest = !rest.empty();
+  const bool has_rest = !connection.http.Input().empty();
+  // An upstream may answer before it has read the whole request; the rest of
+  // the request then must not be taken for another one.
   const bool is_reusable = head.keep_alive && !has_rest &&
                            !connection.peer_closed &&
                            !connection.http.HasOutput();
   if (has_rest) this->metrics.Count("upstream_unmatched_answers");
+  connection.idle_limit = IdleLimitOf(head);
   const auto exchange = std::move(connection.exchange);
   this->Forget(*exchange);
   exchange->Succeed(std::move(head),
-                    std::make_shared<const std::string>(std::move(body)),
+                    std::make_shared<const std::string>(connection.body.Take()),
                     this->outbox);
+  connection.body = BodyReader();
   const PoolId id = connection.pool;
   if (is_reusable) {
     --this->exchanging;
