core, log_service, peer, upstream: add the parts that serve keys by range

Cause: the users' platform divides services by key ranges, keeps the newest record of each key in a log and lets upstreams register themselves; the product has groups of shards and a VM list. Change: desired state with routes and splits, registry of upstreams, owner map, leadership by conditional append, range keeper, range planner, gossip between daemons, followers of keyed topics. Nothing uses them yet.

--- /dev/null
+++ b/include/bamboorack/core/upstream_registry.h
@@ -0,0 +1,85 @@
+#ifndef BAMBOORACK_CORE_UPSTREAM_REGISTRY_H_
+#define BAMBOORACK_CORE_UPSTREAM_REGISTRY_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "bamboorack/core/ids.h"
+#include "bamboorack/core/time.h"
+
+namespace bamboorack {
+
+/// Tells two runs of an upstream under the same id apart.
+using UpstreamLife = Number<struct UpstreamLifeTag>;
+
+/// One run of an upstream. Only this run holds what was granted to it.
+struct UpstreamRun {
+  UpstreamId id;
+  UpstreamLife life;
+
+  auto operator<=>(const UpstreamRun&) const = default;
+};
+
+/// What an upstream says of itself in the platform's registry.
+struct RegisteredUpstream {
+  UpstreamRun run;
+  ServiceName service;
+  Endpoint endpoint;
+  FailureDomain failure_domain;
+  /// Requests that it runs at the same time.
+  std::uint32_t slots = 1;
+  bool is_draining = false;
+  /// How much longer it is slow after its start.
+  std::chrono::milliseconds warm_up_left{0};
+
+  bool operator==(const RegisteredUpstream&) const = default;
+};
+
+/// The upstreams that may be used, from the records of the registry and from
+/// how well this process reaches it.
+///
+/// Load pattern: entries lapse while the registry is out of reach of the
+/// upstreams but not of this process, or the other way round. An entry that
+/// goes missing around such an outage is kept for `kReturnTime`.
+class UpstreamRegistry {
+ public:
+  /// Living upstreams are back in the registry within this time of its return.
+  static constexpr std::chrono::milliseconds kReturnTime{2'300};
+
+  /// Takes one record; nothing means that the entry was removed.
+  void Set(const UpstreamId& id, const std::optional<RegisteredUpstream>& entry,
+           MonotonicTime now);
+  /// Takes the whole registry.
+  void Replace(const std::vector<RegisteredUpstream>& entries, MonotonicTime now);
+  /// Tells that a call to the registry was answered, or that one failed.
+  void NoteContact(MonotonicTime now) { this->last_contact = now; }
+  void NoteFailure(MonotonicTime now);
+
+  /// Drops entries whose time has run out. Returns whether the usable entries
+  /// have changed since the last call.
+  bool Update(MonotonicTime now);
+
+  /// The usable entries, ordered by id, draining ones included.
+  std::vector<RegisteredUpstream> Entries() const;
+
+ private:
+  struct Row {
+    RegisteredUpstream entry;
+    /// Set while the registry does not list the entry: when it is dropped.
+    std::optional<MonotonicTime> drop_at;
+  };
+
+  void MarkMissing(Row& row, MonotonicTime now);
+
+  std::map<UpstreamId, Row> rows;
+  std::optional<MonotonicTime> last_contact;
+  std::optional<MonotonicTime> last_failure;
+  bool has_changed = false;
+};
+
+}  // namespace bamboorack
+
+#endif  // BAMBOORACK_CORE_UPSTREAM_REGISTRY_H_
--- /dev/null
+++ b/include/bamboorack/peer/gossip.h
@@ -0,0 +1,63 @@
+#ifndef BAMBOORACK_PEER_GOSSIP_H_
+#define BAMBOORACK_PEER_GOSSIP_H_
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "bamboorack/core/ids.h"
+#include "bamboorack/core/key_range.h"
+#include "bamboorack/core/owner_map.h"
+
+namespace bamboorack::peer {
+
+/// A short stand-in for an upstream's id in load reports.
+using UpstreamHash = Number<struct UpstreamHashTag>;
+
+UpstreamHash HashOf(const UpstreamId& id);
+
+/// What one daemon has in hand at one upstream.
+struct UpstreamLoad {
+  UpstreamHash upstream;
+  std::uint32_t in_flight = 0;
+  /// Latency against the mean of all upstreams; 1 is average, 0 unknown.
+  double latency_ratio = 0;
+};
+
+/// The keys of the requests for one service since the last report.
+struct KeyDemand {
+  ServiceName service;
+  std::vector<ShardKey> keys;
+};
+
+/// Tells the other daemons how busy a daemon keeps the upstreams, so that each
+/// sees the work of all.
+struct LoadReport {
+  DaemonId sender;
+  std::vector<UpstreamLoad> upstreams;
+  std::vector<KeyDemand> demands;
+};
+
+/// Shows that the leader of ownership is there, and who owns which keys.
+struct LeaderBeat {
+  DaemonId sender;
+  OwnerMapVersion version;
+  bool has_resigned = false;
+  /// Empty in beats between changes.
+  std::optional<OwnerMap> owners;
+};
+
+using Gossip = std::variant<LoadReport, LeaderBeat>;
+
+/// Replaces the daemons that are sent to.
+struct SetPeers {
+  std::vector<Endpoint> peers;
+};
+
+/// To the gossip thread.
+using ToGossip = std::variant<LoadReport, LeaderBeat, SetPeers>;
+
+}  // namespace bamboorack::peer
+
+#endif  // BAMBOORACK_PEER_GOSSIP_H_
--- a/include/bamboorack/upstream/messages.h
+++ b/include/bamboorack/upstream/messages.h
@@ -70,6 +70,8 @@
 /// Grants the keys of `range` for `lease`, counted from the arrival of the
 /// call. For upstreams that have no clock reading to echo.
 struct RangeGrantCall {
+  /// Another upstream at the address refuses with `kOtherInstance`.
+  UpstreamId holder;
   KeyRange range;
   FencingToken token;
   std::chrono::milliseconds lease{0};
@@ -81,6 +83,8 @@
 /// Takes the keys of `range` back. The upstream answers once no work on them
 /// runs.
 struct RangeReleaseCall {
+  /// As in `RangeGrantCall`.
+  UpstreamId holder;
   KeyRange range;
   FencingToken token;
 };
@@ -148,6 +152,8 @@
   kLeaseExpired,
   /// The answer breaks the protocol.
   kBadAnswer,
+  /// Nothing was written to the upstream.
+  kNotSent,
 };
 
 using ControlAnswer =
--- /dev/null
+++ b/include/bamboorack/upstream/range_keeper.h
@@ -0,0 +1,219 @@
+#ifndef BAMBOORACK_UPSTREAM_RANGE_KEEPER_H_
+#define BAMBOORACK_UPSTREAM_RANGE_KEEPER_H_
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bamboorack/core/ids.h"
+#include "bamboorack/core/key_range.h"
+#include "bamboorack/core/owner_map.h"
+#include "bamboorack/core/time.h"
+#include "bamboorack/core/upstream_registry.h"
+#include "bamboorack/upstream/messages.h"
+#include "bamboorack/upstream/ownership_record.h"
+
+namespace bamboorack::upstream {
+
+/// How long keys are granted for.
+struct RangeLeases {
+  /// Ordinary leases: short, so that the keys of a lost upstream are back
+  /// soon; longer than a change of leader takes.
+  std::chrono::milliseconds ordinary{4'000};
+  /// The longest that upstreams accept, granted when an outage begins.
+  std::chrono::milliseconds longest{10'000};
+};
+
+/// One range whose ownership changed, for the record of decisions.
+struct RangeEvent {
+  std::string_view what;
+  ServiceName service;
+  KeyRange range;
+  std::optional<UpstreamRun> holder;
+  std::optional<UpstreamRun> successor;
+  FencingToken token;
+};
+
+/// Orders one range to move, or to be held for the first time.
+struct RangeMove {
+  KeyRange range;
+  UpstreamRun to;
+};
+
+/// What the planner may know of a range.
+struct RangeView {
+  KeyRange range;
+  std::optional<UpstreamRun> holder;
+  /// Held, with nothing under way: may be moved or split.
+  bool is_settled = false;
+  /// Held by nobody: must be given to somebody.
+  bool is_free = false;
+};
+
+/// Grants, renews and takes back ranges of keys for the leader of ownership.
+///
+/// A range leaves a holder with one of these proofs: the holder answered a
+/// release and no grant to it is unanswered; no order that was sent can make it
+/// hold the range any longer; or another run of the upstream has taken its
+/// place. A grant that was not answered may be carried out seconds later, so
+/// the next order has a higher token, which fences it.
+class RangeKeeper {
+ public:
+  explicit RangeKeeper(const RangeLeases& range_leases) : leases(range_leases) {}
+
+  /// Starts a term with what the last record says. The predecessor may have
+  /// sent its last orders until `now`.
+  void TakeOver(const OwnershipRecord& record, Term term, MonotonicTime now);
+  /// Makes sure that each sharded service has its keys.
+  void SetServices(const std::vector<ServiceName>& sharded);
+  void SetUpstreams(const std::vector<RegisteredUpstream>& entries,
+                    MonotonicTime now);
+
+  std::vector<RangeView> Ranges(const ServiceName& service) const;
+  /// Starts a move. Splits ranges as needed. Ignores keys that are not settled
+  /// or free.
+  void Move(const ServiceName& service, const RangeMove& move);
+
+  /// Returns the orders that are due. `saved_change` is the change of the
+  /// newest record that the log confirmed. Call only within the mandate.
+  std::vector<ControlCall> Step(std::uint64_t saved_change, bool is_in_trouble,
+                                MonotonicTime now);
+  void OnResult(const ControlResult& result, MonotonicTime now);
+
+  /// What has to be in the record: grows with each change that must be saved
+  /// before orders depend on it.
+  std::uint64_t Change() const { return this->change; }
+  std::map<ServiceName, std::vector<RecordedRange>> ToRecord() const;
+  /// Whether the map has changed since the last call of `ToMap`.
+  bool HasNewMap() const { return this->has_new_map; }
+  OwnerMap ToMap(MonotonicTime now);
+  std::vector<RangeEvent> TakeEvents();
+  /// Whether orders to the upstream failed lately.
+  bool IsUnreachable(const UpstreamRun& run, MonotonicTime now) const;
+  /// The share of upstreams with ranges whose orders failed lately.
+  double UnreachableShare(MonotonicTime now) const;
+  bool IsBusy(const ServiceName& service) const;
+
+ private:
+  enum class Phase : std::uint8_t {
+    /// Nobody holds the keys.
+    kFree,
+    kHeld,
+    /// A move waits until the record names the successor.
+    kSaving,
+    /// The holder, and after a change of leader also the successor, is asked
+    /// to let go.
+    kReleasing,
+    /// The successor is being granted the keys.
+    kGranting,
+    /// The holder does not answer; its lease has to run out.
+    kExpiring,
+  };
+
+  struct Range {
+    KeyRange keys;
+    Phase phase = Phase::kFree;
+    std::optional<UpstreamRun> holder;
+    std::optional<UpstreamRun> successor;
+    FencingToken token;
+    Handover handover;
+    /// No order that was sent makes the holder hold the keys after this time.
+    MonotonicTime may_hold_until;
+    /// The same before the outstanding grant, in case that it is not sent.
+    MonotonicTime held_before_call;
+    MonotonicTime next_call;
+    std::optional<ControlCallId> call;
+    MonotonicTime call_sent;
+    std::chrono::milliseconds call_lease{0};
+    /// A grant to the holder under this or an earlier token was not answered
+    /// and may be carried out later.
+    bool has_unanswered_grant = false;
+    /// After a change of leader in the middle of a move: the successor may
+    /// hold the keys too and has not let go yet.
+    bool must_release_successor = false;
+    bool holder_released = false;
+    std::uint64_t needs_change = 0;
+    /// Grants in a row that were written and not answered.
+    int unanswered = 0;
+    /// Grants to the successor that failed.
+    int failed_attempts = 0;
+    /// Whether the lease of the last grant was the longest.
+    bool is_extended = false;
+  };
+
+  struct Reach {
+    int failures = 0;
+    MonotonicTime last_failure;
+  };
+
+  struct Departed {
+    Endpoint endpoint;
+    /// Another upstream may have the address after this time.
+    MonotonicTime until;
+  };
+
+  using StepHandler = void (RangeKeeper::*)(const ServiceName&, Range&);
+  static const std::array<StepHandler, 6> kSteps;
+
+  void StepFree(const ServiceName& service, Range& range);
+  void StepHeld(const ServiceName& service, Range& range);
+  void StepSaving(const ServiceName& service, Range& range);
+  void StepReleasing(const ServiceName& service, Range& range);
+  void StepGranting(const ServiceName& service, Range& range);
+  void StepExpiring(const ServiceName& service, Range& range);
+
+  FencingToken DrawToken() { return FencingToken(++this->last_token.value); }
+  const RegisteredUpstream* Find(const UpstreamRun& run) const;
+  /// Where to reach a run that is listed or was until a moment ago, or null.
+  const Endpoint* EndpointOf(const UpstreamRun& run) const;
+  /// Whether another run has taken the place of `run`, so that it holds
+  /// nothing any more.
+  bool IsReplaced(const UpstreamRun& run) const;
+  void Send(const ServiceName& service, Range& range, const UpstreamRun& to,
+            ControlRequest request, MonotonicTime deadline);
+  void SendGrant(const ServiceName& service, Range& range,
+                 const UpstreamRun& to);
+  void OnGrantResult(const ServiceName& service, Range& range,
+                     const ControlResult& result, MonotonicTime now);
+  void OnReleaseResult(const ServiceName& service, Range& range,
+                       const ControlResult& result, MonotonicTime now);
+  void OnGrantFailed(Range& range, ControlError error, MonotonicTime now);
+  void SetPhase(const ServiceName& service, Range& range, Phase phase,
+                std::string_view what);
+  /// The holder lets go, proven: gives the keys to the successor or frees them.
+  void LetGo(const ServiceName& service, Range& range, std::string_view what);
+  void NoteReach(const UpstreamId& id, bool reached, MonotonicTime now);
+  /// Splits the settled or free range that holds `first`, so that a range
+  /// starts there.
+  void SplitBefore(std::vector<Range>& ranges, std::uint32_t first);
+  void MergeNeighbours(std::vector<Range>& ranges);
+
+  const RangeLeases leases;
+  Term term;
+  FencingToken last_token;
+  std::map<ServiceName, std::vector<Range>> services;
+  std::map<UpstreamId, RegisteredUpstream> upstreams;
+  std::map<UpstreamId, Reach> reach;
+  /// Runs that left the registry, to take their keys back.
+  std::map<UpstreamRun, Departed> departed;
+  std::uint64_t change = 0;
+  std::uint64_t map_change = 0;
+  bool has_new_map = false;
+  std::vector<RangeEvent> events;
+  std::uint64_t last_call = 0;
+
+  // Valid during one `Step`.
+  std::vector<ControlCall> calls;
+  std::uint64_t saved = 0;
+  bool in_trouble = false;
+  MonotonicTime step_time;
+};
+
+}  // namespace bamboorack::upstream
+
+#endif  // BAMBOORACK_UPSTREAM_RANGE_KEEPER_H_
--- /dev/null
+++ b/include/bamboorack/upstream/range_leadership.h
@@ -0,0 +1,107 @@
+#ifndef BAMBOORACK_UPSTREAM_RANGE_LEADERSHIP_H_
+#define BAMBOORACK_UPSTREAM_RANGE_LEADERSHIP_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+#include "bamboorack/core/ids.h"
+#include "bamboorack/core/time.h"
+#include "bamboorack/upstream/ownership_record.h"
+
+namespace bamboorack::upstream {
+
+/// Decides which daemon leads ownership: the one whose record is the newest in
+/// the log, for `kMandate` after it sent the append that put it there.
+///
+/// A leader may send orders only within its mandate. A successor claims when
+/// it has seen no new record for `kTakeoverWait`, which is longer, or when the
+/// record tells that the leader has gone.
+class RangeLeadership {
+ public:
+  /// Covers two lost renewals in a row on a log that answers in 100 ms.
+  static constexpr std::chrono::milliseconds kMandate{1'500};
+  /// The mandate, and the way of the last order to an upstream.
+  static constexpr std::chrono::milliseconds kTakeoverWait{1'900};
+  static constexpr std::chrono::milliseconds kRenewEvery{450};
+  /// Without a renewal for this long, the leader prepares for an outage.
+  static constexpr std::chrono::milliseconds kTroubleAfter{850};
+  /// A follower looks at the record when it has not heard of the leader for
+  /// this time: two periods of the leader's messages.
+  static constexpr std::chrono::milliseconds kLeaderSilence{500};
+
+  enum class Role : std::uint8_t { kFollower, kLeader };
+
+  /// The call to the log that is due.
+  enum class Wish : std::uint8_t { kNothing, kRead, kClaim, kRenew };
+
+  RangeLeadership(DaemonId daemon, DaemonInstance daemon_instance,
+                  MonotonicTime now);
+
+  /// Returns the call that is due. It counts as outstanding until one of the
+  /// three `On` functions below is called.
+  Wish Next(MonotonicTime now, bool has_unsaved_changes);
+
+  /// The newest record and the end of the log, or that there is no record.
+  void OnRead(const std::optional<OwnershipRecord>& record, LogOffset end,
+              MonotonicTime now);
+  void OnReadFailed(MonotonicTime now);
+  /// An append that was sent at `sent` took effect.
+  void OnAppended(LogOffset end, MonotonicTime sent, MonotonicTime now);
+  /// An append did not take effect, or that is unknown.
+  void OnAppendFailed(MonotonicTime sent, MonotonicTime now);
+
+  /// A message of the leader of `term` arrived.
+  void OnLeaderHeard(Term term, MonotonicTime now);
+  /// The process stood still: its mandate may have passed unnoticed.
+  void OnSuspended(MonotonicTime now);
+  /// Gives the duty up; the daemon does not claim it again until `until`.
+  void StepDown(MonotonicTime until);
+
+  bool MaySendOrders(MonotonicTime now) const;
+  /// Whether the mandate is about to end without a renewal.
+  bool IsInTrouble(MonotonicTime now) const;
+  Role GetRole() const { return this->role; }
+  /// The own term of a leader, the term to claim of a follower.
+  Term OwnTerm() const { return this->term; }
+  LogOffset ExpectedEnd() const { return this->expected_end; }
+  /// Set for one call after the daemon became leader: the record it took over.
+  std::optional<OwnershipRecord> TakePredecessor();
+  MonotonicTime MandateUntil() const { return this->mandate_until; }
+
+ private:
+  bool IsOwn(const OwnershipRecord& record) const;
+  Wish NextOfFollower(MonotonicTime now);
+  Wish NextOfLeader(MonotonicTime now, bool has_unsaved_changes);
+  bool MayClaim(MonotonicTime now) const;
+  void BecomeFollower(MonotonicTime now);
+
+  const DaemonId self;
+  const DaemonInstance instance;
+  Role role = Role::kFollower;
+  bool is_waiting = false;
+  Wish outstanding = Wish::kNothing;
+  MonotonicTime next_call;
+  Term term;
+  LogOffset expected_end;
+
+  // Of a follower.
+  MonotonicTime leader_heard;
+  Term heard_term;
+  std::optional<OwnershipRecord> observed;
+  std::optional<LogOffset> observed_end;
+  MonotonicTime observed_since;
+  bool may_have_claimed = false;
+  MonotonicTime claim_sent;
+  MonotonicTime not_before;
+
+  // Of a leader.
+  MonotonicTime mandate_until;
+  MonotonicTime last_renewal;
+  bool needs_read = false;
+  std::optional<OwnershipRecord> predecessor;
+};
+
+}  // namespace bamboorack::upstream
+
+#endif  // BAMBOORACK_UPSTREAM_RANGE_LEADERSHIP_H_
--- /dev/null
+++ b/lib/peer/gossip_codec.cc
@@ -0,0 +1,175 @@
+#include "bamboorack/peer/gossip_codec.h"
+
+#include <flatbuffers/flatbuffers.h>
+#include <gossip_generated.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <vector>
+
+#include "bamboorack/core/hash.h"
+
+namespace bamboorack::peer {
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+constexpr double kPermille = 1'000;
+constexpr double kMaxRatio = 1'000;
+
+std::string TextOf(const flatbuffers::String* text) {
+  return text == nullptr ? std::string() : text->str();
+}
+
+Offset<void> Encode(FlatBufferBuilder& builder, const LoadReport& report) {
+  std::vector<gossip::UpstreamLoad> loads;
+  loads.reserve(report.upstreams.size());
+  for (const UpstreamLoad& load : report.upstreams) {
+    const double ratio = std::clamp(load.latency_ratio, 0.0, kMaxRatio);
+    loads.emplace_back(load.upstream.value, load.in_flight,
+                       static_cast<std::uint32_t>(ratio * kPermille));
+  }
+  std::vector<Offset<gossip::KeyDemand>> demands;
+  for (const KeyDemand& demand : report.demands) {
+    std::vector<std::uint16_t> keys;
+    keys.reserve(demand.keys.size());
+    for (const ShardKey key : demand.keys) keys.push_back(key.value);
+    demands.push_back(gossip::CreateKeyDemandDirect(
+        builder, demand.service.value.c_str(), &keys));
+  }
+  return gossip::CreateLoadReportDirect(builder, &loads, &demands).Union();
+}
+
+Offset<gossip::ServiceOwners> Encode(FlatBufferBuilder& builder,
+                                     const ServiceName& service,
+                                     const std::vector<OwnedRange>& ranges) {
+  std::vector<Offset<gossip::OwnedRange>> encoded;
+  encoded.reserve(ranges.size());
+  for (const OwnedRange& row : ranges) {
+    const std::string owner = row.owner ? row.owner->id.value : "";
+    encoded.push_back(gossip::CreateOwnedRangeDirect(
+        builder, row.range.first.value, row.range.last.value, owner.c_str(),
+        row.owner ? row.owner->life.value : 0));
+  }
+  return gossip::CreateServiceOwnersDirect(builder, service.value.c_str(),
+                                           &encoded);
+}
+
+Offset<void> Encode(FlatBufferBuilder& builder, const LeaderBeat& beat) {
+  std::vector<Offset<gossip::ServiceOwners>> services;
+  if (beat.owners) {
+    for (const auto& [service, ranges] : beat.owners->services) {
+      services.push_back(Encode(builder, service, ranges));
+    }
+  }
+  return gossip::CreateLeaderBeatDirect(
+             builder, beat.version.term.value, beat.version.change,
+             beat.has_resigned, beat.owners ? &services : nullptr)
+      .Union();
+}
+
+std::optional<Gossip> DecodeReport(const gossip::Datagram& datagram) {
+  const auto& wire = *datagram.content_as_LoadReport();
+  LoadReport report;
+  report.sender = DaemonId(TextOf(datagram.daemon()));
+  if (wire.upstreams() != nullptr) {
+    for (const gossip::UpstreamLoad* load : *wire.upstreams()) {
+      report.upstreams.push_back(
+          {UpstreamHash(load->upstream()), load->in_flight(),
+           static_cast<double>(load->latency_permille()) / kPermille});
+    }
+  }
+  if (wire.demands() != nullptr) {
+    for (const gossip::KeyDemand* demand : *wire.demands()) {
+      KeyDemand& row = report.demands.emplace_back();
+      row.service = ServiceName(TextOf(demand->service()));
+      if (demand->keys() == nullptr) continue;
+      for (const std::uint16_t key : *demand->keys()) {
+        row.keys.emplace_back(key);
+      }
+    }
+  }
+  return report;
+}
+
+std::vector<OwnedRange> DecodeRanges(const gossip::ServiceOwners& owners) {
+  std::vector<OwnedRange> ranges;
+  if (owners.ranges() == nullptr) return ranges;
+  for (const gossip::OwnedRange* wire : *owners.ranges()) {
+    OwnedRange row{{ShardKey(wire->first()), ShardKey(wire->last())}, {}};
+    const std::string owner = TextOf(wire->owner());
+    if (!owner.empty()) {
+      row.owner = UpstreamRun{UpstreamId(owner), UpstreamLife(wire->life())};
+    }
+    ranges.push_back(std::move(row));
+  }
+  return ranges;
+}
+
+std::optional<Gossip> DecodeBeat(const gossip::Datagram& datagram) {
+  const auto& wire = *datagram.content_as_LeaderBeat();
+  LeaderBeat beat;
+  beat.sender = DaemonId(TextOf(datagram.daemon()));
+  beat.version = {Term(wire.term()), wire.change()};
+  beat.has_resigned = wire.has_resigned();
+  if (wire.services() != nullptr) {
+    beat.owners = OwnerMap{beat.version, {}};
+    for (const gossip::ServiceOwners* owners : *wire.services()) {
+      beat.owners->services[ServiceName(TextOf(owners->service()))] =
+          DecodeRanges(*owners);
+    }
+  }
+  return beat;
+}
+
+struct ContentRow {
+  gossip::Content content;
+  std::optional<Gossip> (*decode)(const gossip::Datagram&);
+};
+
+constexpr std::array kContents = {
+    ContentRow{gossip::Content::LoadReport, &DecodeReport},
+    ContentRow{gossip::Content::LeaderBeat, &DecodeBeat}};
+
+}  // namespace
+
+UpstreamHash HashOf(const UpstreamId& id) {
+  return UpstreamHash(HashText(id.value));
+}
+
+std::string EncodeGossip(const GossipSource& source, const Gossip& content) {
+  FlatBufferBuilder builder;
+  const auto type = std::holds_alternative<LoadReport>(content)
+                        ? gossip::Content::LoadReport
+                        : gossip::Content::LeaderBeat;
+  const Offset<void> body = std::visit(
+      [&builder](const auto& value) { return Encode(builder, value); },
+      content);
+  builder.Finish(gossip::CreateDatagramDirect(
+      builder, source.daemon.value.c_str(), source.instance.value.c_str(),
+      source.sequence, type, body));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+          builder.GetSize()};
+}
+
+std::optional<ReceivedGossip> DecodeGossip(std::string_view bytes) {
+  const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+  flatbuffers::Verifier verifier(data, bytes.size());
+  if (!gossip::VerifyDatagramBuffer(verifier)) return std::nullopt;
+  const gossip::Datagram& datagram = *gossip::GetDatagram(data);
+  for (const ContentRow& row : kContents) {
+    if (row.content != datagram.content_type()) continue;
+    if (datagram.content() == nullptr) return std::nullopt;
+    auto content = row.decode(datagram);
+    if (!content) return std::nullopt;
+    return ReceivedGossip{{DaemonId(TextOf(datagram.daemon())),
+                           DaemonInstance(TextOf(datagram.instance())),
+                           datagram.sequence()},
+                          std::move(*content)};
+  }
+  return std::nullopt;
+}
+
+}  // namespace bamboorack::peer
--- a/lib/upstream/exchange.cc
+++ b/lib/upstream/exchange.cc
@@ -138,12 +138,21 @@
         outbox);
   }
 
-  void Fail(Failure failure, bool /*was_written*/,
-            ResultOutbox& outbox) override {
-    this->Finish(tl::make_unexpected(RowOf(failure).control_error), outbox);
+  void Fail(Failure failure, bool was_written, ResultOutbox& outbox) override {
+    const ControlError error = !was_written && this->IsRangeCall()
+                                   ? ControlError::kNotSent
+                                   : RowOf(failure).control_error;
+    this->Finish(tl::make_unexpected(error), outbox);
   }
 
  private:
+  // A range grant counts from its arrival, so it matters whether it can
+  // arrive.
+  bool IsRangeCall() const {
+    return std::holds_alternative<RangeGrantCall>(this->call.request) ||
+           std::holds_alternative<RangeReleaseCall>(this->call.request);
+  }
+
   void Finish(tl::expected<ControlAnswer, ControlError> answer,
               ResultOutbox& outbox) {
     ControlResult result{this->call.id, this->call.upstream, std::move(answer)};
--- /dev/null
+++ b/lib/upstream/range_keeper.cc
@@ -0,0 +1,523 @@
+#include "bamboorack/upstream/range_keeper.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace bamboorack::upstream {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A lease is renewed when this share of it is left, in percent.
+constexpr int kRenewAtPercent = 70;
+// An upstream's clock may measure a lease 2 % too long.
+constexpr int kClockDriftPercent = 2;
+// The way of an order to an upstream.
+constexpr milliseconds kOrderTravel{150};
+constexpr milliseconds kGrantLimit{500};
+constexpr milliseconds kRetryPause{150};
+// A release is answered when the work on the keys has ended, so its answer
+// takes as long as the longest request.
+constexpr milliseconds kReleaseLimit{2'500};
+// After this many grants in a row that were written and not answered no further
+// one is sent, so that the lease can run out.
+constexpr int kMaxUnanswered = 3;
+constexpr int kMaxAttempts = 3;
+// The address of an upstream that has ended is not used again within 2 s.
+constexpr milliseconds kDepartedTime{1'700};
+constexpr milliseconds kUnreachableTime{1'500};
+// Beyond this many ranges a service is not split any further.
+constexpr std::size_t kMaxRanges = 2'000;
+
+milliseconds LongestHold(milliseconds lease) {
+  return lease + lease * kClockDriftPercent / 100 + kOrderTravel;
+}
+
+}  // namespace
+
+// Indexed by phase.
+const std::array<RangeKeeper::StepHandler, 6> RangeKeeper::kSteps = {
+    &RangeKeeper::StepFree,      &RangeKeeper::StepHeld,
+    &RangeKeeper::StepSaving,    &RangeKeeper::StepReleasing,
+    &RangeKeeper::StepGranting,  &RangeKeeper::StepExpiring};
+
+void RangeKeeper::TakeOver(const OwnershipRecord& record, Term new_term,
+                           MonotonicTime now) {
+  this->term = new_term;
+  this->last_token = FirstTokenOf(new_term);
+  this->services.clear();
+  this->reach.clear();
+  this->map_change = 0;
+  this->change = 1;
+  this->has_new_map = true;
+  for (const auto& [service, recorded] : record.services) {
+    std::vector<Range>& ranges = this->services[service];
+    for (const RecordedRange& row : recorded) {
+      Range& range = ranges.emplace_back();
+      range.keys = row.range;
+      range.holder = row.holder;
+      range.token = this->DrawToken();
+      range.next_call = now;
+      range.may_hold_until = now + LongestHold(this->leases.longest);
+      range.has_unanswered_grant = true;
+      if (row.successor) {
+        range.successor = row.successor;
+        range.must_release_successor = true;
+        range.phase = Phase::kReleasing;
+      } else {
+        range.phase = row.holder ? Phase::kHeld : Phase::kFree;
+      }
+    }
+  }
+}
+
+void RangeKeeper::SetServices(const std::vector<ServiceName>& sharded) {
+  for (const ServiceName& service : sharded) {
+    if (this->services.contains(service)) continue;
+    Range all;
+    all.keys = {kFirstKey, kLastKey};
+    this->services[service].push_back(all);
+    this->has_new_map = true;
+  }
+}
+
+void RangeKeeper::SetUpstreams(const std::vector<RegisteredUpstream>& entries,
+                               MonotonicTime now) {
+  const auto before = std::exchange(this->upstreams, {});
+  for (const RegisteredUpstream& entry : entries) {
+    this->upstreams.emplace(entry.run.id, entry);
+  }
+  for (const auto& [id, entry] : before) {
+    if (this->Find(entry.run) != nullptr) continue;
+    this->departed.emplace(entry.run,
+                           Departed{entry.endpoint, now + kDepartedTime});
+  }
+  std::erase_if(this->departed,
+                [now](const auto& item) { return item.second.until <= now; });
+}
+
+const Endpoint* RangeKeeper::EndpointOf(const UpstreamRun& run) const {
+  if (const RegisteredUpstream* entry = this->Find(run)) return &entry->endpoint;
+  const auto found = this->departed.find(run);
+  if (found == this->departed.end()) return nullptr;
+  return this->step_time < found->second.until ? &found->second.endpoint
+                                               : nullptr;
+}
+
+const RegisteredUpstream* RangeKeeper::Find(const UpstreamRun& run) const {
+  const auto found = this->upstreams.find(run.id);
+  if (found == this->upstreams.end()) return nullptr;
+  return found->second.run == run ? &found->second : nullptr;
+}
+
+bool RangeKeeper::IsReplaced(const UpstreamRun& run) const {
+  const auto found = this->upstreams.find(run.id);
+  return found != this->upstreams.end() && found->second.run.life > run.life;
+}
+
+std::vector<RangeView> RangeKeeper::Ranges(const ServiceName& service) const {
+  std::vector<RangeView> views;
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) return views;
+  for (const Range& range : found->second) {
+    const bool may_split = !range.call || range.phase == Phase::kFree;
+    views.push_back({range.keys, range.holder,
+                     range.phase == Phase::kHeld && may_split,
+                     range.phase == Phase::kFree});
+  }
+  return views;
+}
+
+bool RangeKeeper::IsBusy(const ServiceName& service) const {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) return false;
+  return std::any_of(found->second.begin(), found->second.end(),
+                     [](const Range& range) {
+                       return range.phase == Phase::kSaving ||
+                              range.phase == Phase::kReleasing ||
+                              range.phase == Phase::kGranting;
+                     });
+}
+
+void RangeKeeper::SplitBefore(std::vector<Range>& ranges, std::uint32_t first) {
+  if (first > kLastKey.value || ranges.size() >= kMaxRanges) return;
+  const ShardKey key(static_cast<std::uint16_t>(first));
+  const auto found =
+      std::find_if(ranges.begin(), ranges.end(),
+                   [key](const Range& r) { return r.keys.Contains(key); });
+  if (found == ranges.end() || found->keys.first == key) return;
+  if (found->call) return;
+  if (found->phase != Phase::kHeld && found->phase != Phase::kFree) return;
+  Range upper = *found;
+  upper.keys.first = key;
+  found->keys.last = ShardKey(static_cast<std::uint16_t>(first - 1));
+  ranges.insert(found + 1, std::move(upper));
+}
+
+void RangeKeeper::Move(const ServiceName& service, const RangeMove& move) {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) return;
+  std::vector<Range>& ranges = found->second;
+  this->SplitBefore(ranges, move.range.first.value);
+  this->SplitBefore(ranges, std::uint32_t{move.range.last.value} + 1);
+  for (Range& range : ranges) {
+    const bool is_inside = move.range.first <= range.keys.first &&
+                           range.keys.last <= move.range.last;
+    if (!is_inside || range.call) continue;
+    if (range.phase != Phase::kHeld && range.phase != Phase::kFree) continue;
+    if (range.holder == move.to) continue;
+    range.successor = move.to;
+    range.needs_change = ++this->change;
+    this->SetPhase(service, range, Phase::kSaving, "move_planned");
+  }
+}
+
+void RangeKeeper::MergeNeighbours(std::vector<Range>& ranges) {
+  std::vector<Range> merged;
+  merged.reserve(ranges.size());
+  for (Range& range : ranges) {
+    Range* before = merged.empty() ? nullptr : &merged.back();
+    const bool fits =
+        before != nullptr && before->phase == range.phase &&
+        (range.phase == Phase::kHeld || range.phase == Phase::kFree) &&
+        before->holder == range.holder && !before->call && !range.call;
+    if (!fits) {
+      merged.push_back(std::move(range));
+      continue;
+    }
+    before->keys.last = range.keys.last;
+    before->may_hold_until =
+        std::max(before->may_hold_until, range.may_hold_until);
+    before->has_unanswered_grant |= range.has_unanswered_grant;
+    before->is_extended |= range.is_extended;
+    before->next_call = std::min(before->next_call, range.next_call);
+    // One token above both, so that one call renews the whole range.
+    if (before->phase == Phase::kHeld) before->token = this->DrawToken();
+  }
+  ranges = std::move(merged);
+}
+
+std::vector<ControlCall> RangeKeeper::Step(std::uint64_t saved_change,
+                                           bool is_in_trouble,
+                                           MonotonicTime now) {
+  this->calls.clear();
+  this->saved = saved_change;
+  this->in_trouble = is_in_trouble;
+  this->step_time = now;
+  for (auto& [service, ranges] : this->services) {
+    this->MergeNeighbours(ranges);
+    for (Range& range : ranges) {
+      (this->*kSteps.at(static_cast<std::size_t>(range.phase)))(service, range);
+    }
+  }
+  return std::move(this->calls);
+}
+
+void RangeKeeper::StepFree(const ServiceName& /*service*/, Range& /*range*/) {
+  // The planner finds an upstream.
+}
+
+void RangeKeeper::StepHeld(const ServiceName& service, Range& range) {
+  if (this->IsReplaced(*range.holder)) {
+    this->LetGo(service, range, "holder_replaced");
+    return;
+  }
+  if (range.call) return;
+  const bool is_listed = this->Find(*range.holder) != nullptr;
+  if (this->step_time >= range.may_hold_until &&
+      (!is_listed || range.unanswered > 0 || range.failed_attempts > 0)) {
+    this->LetGo(service, range, "lease_ran_out");
+    return;
+  }
+  if (!is_listed || range.unanswered >= kMaxUnanswered) return;
+  const bool extends = this->in_trouble && !range.is_extended;
+  if (this->step_time < range.next_call && !extends) return;
+  this->SendGrant(service, range, *range.holder);
+}
+
+void RangeKeeper::StepSaving(const ServiceName& service, Range& range) {
+  if (range.holder && this->IsReplaced(*range.holder)) {
+    range.holder.reset();
+    range.has_unanswered_grant = false;
+  }
+  if (range.call || this->saved < range.needs_change) return;
+  if (this->Find(*range.successor) == nullptr) {
+    range.successor.reset();
+    ++this->change;
+    this->SetPhase(service, range, range.holder ? Phase::kHeld : Phase::kFree,
+                   "successor_gone");
+    return;
+  }
+  if (!range.holder) {
+    this->SetPhase(service, range, Phase::kGranting, "grant_begins");
+    return;
+  }
+  // An unanswered grant could be carried out after the release, so it is
+  // fenced first by one that is answered.
+  if (range.has_unanswered_grant && this->Find(*range.holder) != nullptr &&
+      range.unanswered < kMaxUnanswered) {
+    if (this->step_time >= range.next_call) {
+      this->SendGrant(service, range, *range.holder);
+    }
+    return;
+  }
+  range.holder_released = false;
+  range.next_call = this->step_time;
+  this->SetPhase(service, range, Phase::kReleasing, "release_begins");
+}
+
+void RangeKeeper::StepReleasing(const ServiceName& service, Range& range) {
+  const bool holder_gone =
+      !range.holder || range.holder_released || this->IsReplaced(*range.holder);
+  const bool successor_gone = !range.must_release_successor ||
+                              this->IsReplaced(*range.successor);
+  if (holder_gone && successor_gone) {
+    this->LetGo(service, range, "released");
+    return;
+  }
+  if (this->step_time >= range.may_hold_until) {
+    range.call.reset();
+    this->LetGo(service, range, "lease_ran_out");
+    return;
+  }
+  if (range.call || this->step_time < range.next_call) return;
+  const UpstreamRun& target = holder_gone ? *range.successor : *range.holder;
+  if (this->EndpointOf(target) == nullptr) return;
+  const MonotonicTime deadline = std::min(
+      range.may_hold_until, this->step_time + milliseconds(kReleaseLimit));
+  range.token = this->DrawToken();
+  this->Send(service, range, target,
+             RangeReleaseCall{target.id, range.keys, range.token}, deadline);
+}
+
+void RangeKeeper::StepGranting(const ServiceName& service, Range& range) {
+  if (range.call || this->step_time < range.next_call) return;
+  const bool is_usable = this->Find(*range.successor) != nullptr &&
+                         range.failed_attempts < kMaxAttempts;
+  if (is_usable) {
+    this->SendGrant(service, range, *range.successor);
+    return;
+  }
+  if (!range.has_unanswered_grant) {
+    range.successor.reset();
+    this->LetGo(service, range, "successor_unreachable");
+    return;
+  }
+  // The successor may hold the keys by a grant that was not answered.
+  range.holder = std::exchange(range.successor, std::nullopt);
+  ++this->change;
+  this->SetPhase(service, range, Phase::kExpiring, "grant_unanswered");
+}
+
+void RangeKeeper::StepExpiring(const ServiceName& service, Range& range) {
+  if (this->IsReplaced(*range.holder) ||
+      this->step_time >= range.may_hold_until) {
+    this->LetGo(service, range, "lease_ran_out");
+  }
+}
+
+void RangeKeeper::LetGo(const ServiceName& service, Range& range,
+                        std::string_view what) {
+  range.holder.reset();
+  range.has_unanswered_grant = false;
+  range.must_release_successor = false;
+  range.holder_released = false;
+  range.call.reset();
+  range.unanswered = 0;
+  range.failed_attempts = 0;
+  range.is_extended = false;
+  range.next_call = this->step_time;
+  range.may_hold_until = this->step_time;
+  if (range.successor && this->Find(*range.successor) != nullptr) {
+    this->SetPhase(service, range, Phase::kGranting, what);
+    return;
+  }
+  range.successor.reset();
+  ++this->change;
+  this->SetPhase(service, range, Phase::kFree, what);
+}
+
+void RangeKeeper::SetPhase(const ServiceName& service, Range& range,
+                           Phase phase, std::string_view what) {
+  range.phase = phase;
+  this->has_new_map = true;
+  this->events.push_back({what, service, range.keys, range.holder,
+                          range.successor, range.token});
+}
+
+void RangeKeeper::Send(const ServiceName& /*service*/, Range& range,
+                       const UpstreamRun& to, ControlRequest request,
+                       MonotonicTime deadline) {
+  range.call = ControlCallId(++this->last_call);
+  range.call_sent = this->step_time;
+  this->calls.push_back({*range.call, to.id, *this->EndpointOf(to), deadline,
+                         std::move(request)});
+}
+
+void RangeKeeper::SendGrant(const ServiceName& service, Range& range,
+                            const UpstreamRun& to) {
+  const bool is_first = range.phase == Phase::kGranting;
+  if (range.has_unanswered_grant || is_first) range.token = this->DrawToken();
+  range.call_lease =
+      this->in_trouble ? this->leases.longest : this->leases.ordinary;
+  range.held_before_call = range.may_hold_until;
+  range.may_hold_until =
+      std::max(range.may_hold_until,
+               this->step_time + LongestHold(range.call_lease));
+  range.is_extended = this->in_trouble;
+  this->Send(service, range, to,
+             RangeGrantCall{to.id, range.keys, range.token, range.call_lease,
+                            is_first ? range.handover : Handover()},
+             this->step_time + kGrantLimit);
+}
+
+void RangeKeeper::OnResult(const ControlResult& result, MonotonicTime now) {
+  this->step_time = now;
+  this->NoteReach(result.upstream,
+                  result.answer ||
+                      result.answer.error() == ControlError::kStaleToken,
+                  now);
+  for (auto& [service, ranges] : this->services) {
+    for (Range& range : ranges) {
+      if (range.call != result.id) continue;
+      range.call.reset();
+      if (range.phase == Phase::kReleasing) {
+        this->OnReleaseResult(service, range, result, now);
+      } else {
+        this->OnGrantResult(service, range, result, now);
+      }
+      return;
+    }
+  }
+}
+
+void RangeKeeper::OnGrantResult(const ServiceName& service, Range& range,
+                                const ControlResult& result,
+                                MonotonicTime now) {
+  if (!result.answer) {
+    this->OnGrantFailed(range, result.answer.error(), now);
+    // Another upstream has the address, so the holder has ended.
+    if (result.answer.error() == ControlError::kOtherInstance &&
+        range.phase == Phase::kHeld) {
+      this->LetGo(service, range, "holder_replaced");
+    }
+    return;
+  }
+  range.unanswered = 0;
+  range.failed_attempts = 0;
+  // The answered grant has a token above those of the unanswered ones.
+  range.has_unanswered_grant = false;
+  range.next_call =
+      range.call_sent + range.call_lease * (100 - kRenewAtPercent) / 100;
+  if (range.phase != Phase::kGranting) return;
+  range.holder = std::exchange(range.successor, std::nullopt);
+  range.handover = Handover();
+  ++this->change;
+  this->SetPhase(service, range, Phase::kHeld, "granted");
+}
+
+void RangeKeeper::OnGrantFailed(Range& range, ControlError error,
+                                MonotonicTime now) {
+  range.next_call = now + kRetryPause;
+  range.is_extended = false;
+  ++range.failed_attempts;
+  if (error == ControlError::kNotSent || error == ControlError::kOtherInstance ||
+      error == ControlError::kStaleToken) {
+    // The grant was not carried out and will not be.
+    range.may_hold_until = range.held_before_call;
+    return;
+  }
+  range.has_unanswered_grant = true;
+  ++range.unanswered;
+}
+
+void RangeKeeper::OnReleaseResult(const ServiceName& service, Range& range,
+                                  const ControlResult& result,
+                                  MonotonicTime now) {
+  const bool has_ended =
+      !result.answer && result.answer.error() == ControlError::kOtherInstance;
+  if (!result.answer && !has_ended) {
+    range.next_call = now + kRetryPause;
+    return;
+  }
+  if (result.answer) {
+    const auto& answer = std::get<RangeReleaseAnswer>(*result.answer);
+    if (!answer.handover.IsEmpty()) range.handover = answer.handover;
+  }
+  if (range.holder && !range.holder_released) {
+    range.holder_released = true;
+  } else {
+    range.must_release_successor = false;
+  }
+  this->StepReleasing(service, range);
+}
+
+void RangeKeeper::NoteReach(const UpstreamId& id, bool reached,
+                            MonotonicTime now) {
+  Reach& row = this->reach[id];
+  row.failures = reached ? 0 : row.failures + 1;
+  if (!reached) row.last_failure = now;
+}
+
+bool RangeKeeper::IsUnreachable(const UpstreamRun& run,
+                                MonotonicTime now) const {
+  const auto found = this->reach.find(run.id);
+  return found != this->reach.end() && found->second.failures >= 2 &&
+         now - found->second.last_failure < kUnreachableTime;
+}
+
+double RangeKeeper::UnreachableShare(MonotonicTime now) const {
+  std::set<UpstreamRun> holders;
+  for (const auto& [service, ranges] : this->services) {
+    for (const Range& range : ranges) {
+      if (range.holder && this->Find(*range.holder) != nullptr) {
+        holders.insert(*range.holder);
+      }
+    }
+  }
+  if (holders.empty()) return 0;
+  const auto lost = std::count_if(
+      holders.begin(), holders.end(), [this, now](const UpstreamRun& run) {
+        return this->IsUnreachable(run, now);
+      });
+  return static_cast<double>(lost) / static_cast<double>(holders.size());
+}
+
+std::map<ServiceName, std::vector<RecordedRange>> RangeKeeper::ToRecord()
+    const {
+  std::map<ServiceName, std::vector<RecordedRange>> recorded;
+  for (const auto& [service, ranges] : this->services) {
+    for (const Range& range : ranges) {
+      recorded[service].push_back({range.keys, range.holder, range.successor});
+    }
+  }
+  return recorded;
+}
+
+OwnerMap RangeKeeper::ToMap(MonotonicTime now) {
+  OwnerMap map;
+  if (std::exchange(this->has_new_map, false)) ++this->map_change;
+  map.version = {this->term, this->map_change};
+  for (const auto& [service, ranges] : this->services) {
+    for (const Range& range : ranges) {
+      OwnedRange row{range.keys, std::nullopt};
+      // A holder that this daemon cannot reach may serve others until its
+      // lease runs out.
+      const bool is_serving =
+          range.phase == Phase::kHeld || range.phase == Phase::kSaving ||
+          range.phase == Phase::kExpiring ||
+          (range.phase == Phase::kReleasing && !range.must_release_successor &&
+           range.holder && this->IsUnreachable(*range.holder, now));
+      if (is_serving && now < range.may_hold_until) row.owner = range.holder;
+      map.services[service].push_back(row);
+    }
+  }
+  return map;
+}
+
+std::vector<RangeEvent> RangeKeeper::TakeEvents() {
+  return std::exchange(this->events, {});
+}
+
+}  // namespace bamboorack::upstream
