--- /dev/null
+++ b/include/bamboorack/daemon/gateway_router.h
@@ -0,0 +1,162 @@
+#ifndef BAMBOORACK_DAEMON_GATEWAY_ROUTER_H_
+#define BAMBOORACK_DAEMON_GATEWAY_ROUTER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "bamboorack/caller/messages.h"
+#include "bamboorack/core/ids.h"
+#include "bamboorack/core/metrics.h"
+#include "bamboorack/core/route_table.h"
+#include "bamboorack/core/time.h"
+#include "bamboorack/daemon/gateway_messages.h"
+#include "bamboorack/peer/gossip.h"
+#include "bamboorack/upstream/messages.h"
+#include "bamboorack/upstream/retry_budget.h"
+#include "bamboorack/upstream/upstream_board.h"
+#include "bamboorack/upstream/wait_line.h"
+
+namespace bamboorack::daemon {
+
+/// Decides on every request of the callers of this daemon: where it goes, how
+/// long it waits, whether it is sent again and how it is refused. Sends
+/// requests to upstreams directly; ownership is decided elsewhere.
+class GatewayRouter {
+ public:
+  struct Identity {
+    DaemonId daemon;
+    FailureDomain failure_domain;
+  };
+
+  GatewayRouter(const Identity& own_identity, Metrics& registry);
+
+  GatewayActions OnTables(const GatewayTables& new_tables, MonotonicTime now);
+  GatewayActions OnCaller(caller::FromCaller message, MonotonicTime now);
+  GatewayActions OnUpstream(upstream::UpstreamToRouting message,
+                            MonotonicTime now);
+  GatewayActions OnPeer(const peer::LoadReport& report, MonotonicTime now);
+  /// Refuses what has run out of time and reports the load.
+  GatewayActions Tick(MonotonicTime now);
+  MonotonicTime NextWakeup() const;
+
+  std::size_t Waiting() const;
+  std::size_t InFlight() const { return this->by_dispatch.size(); }
+  bool IsIdle() const { return this->requests.empty(); }
+
+ private:
+  /// A number for each request of this daemon.
+  using Handle = std::uint64_t;
+
+  /// Requests in one line wait for the same upstream, or for any upstream of a
+  /// service whose upstreams are alike.
+  struct LineKey {
+    ServiceName service;
+    UpstreamId upstream;
+
+    auto operator<=>(const LineKey&) const = default;
+  };
+
+  enum class Place : std::uint8_t { kNowhere, kLine, kUnowned, kInFlight };
+
+  struct Pending {
+    Handle handle = 0;
+    caller::CallerSlot slot;
+    Request request;
+    RouteName route;
+    Repeatability repeatability = Repeatability::kOnce;
+    std::uint32_t priority = 0;
+    std::uint32_t max_attempts = 1;
+    ServiceName service;
+    bool is_sharded = false;
+    ShardKey key;
+    MonotonicTime arrived;
+    MonotonicTime target;
+    MonotonicTime limit;
+    MonotonicTime not_before;
+    /// While nobody owns the key: when the request is refused.
+    MonotonicTime unowned_until;
+    std::uint32_t attempts = 0;
+    std::set<UpstreamId> tried;
+    Place place = Place::kNowhere;
+    LineKey line;
+    DispatchId dispatch;
+    UpstreamId upstream;
+    MonotonicTime sent;
+    bool caller_gone = false;
+    /// The owner map that a refusing upstream did not agree with.
+    OwnerMapVersion disputed;
+  };
+
+  void OnArrived(caller::RequestArrived arrived);
+  void OnGone(const caller::CallerGone& gone);
+  void OnResult(upstream::DispatchResult result);
+
+  std::optional<Refusal> Admit(Pending& pending,
+                               const caller::RequestArrived& arrived);
+  /// Sends the request, lets it wait, or refuses it. `is_new` tells that it
+  /// has not waited yet, so that it may be refused for a long line.
+  void PlaceRequest(Pending& pending, bool is_new);
+  void PlaceSharded(Pending& pending, bool is_new);
+  void WaitOrSend(Pending& pending, const LineKey& key, bool is_new);
+  void WaitForOwner(Pending& pending);
+  void DrainLine(const LineKey& key);
+  void DrainAll();
+  void ReplaceWaiting();
+  std::optional<UpstreamId> PickFor(const Pending& pending,
+                                    const LineKey& key) const;
+  void Send(Pending& pending, const UpstreamId& upstream);
+  void LeaveLine(Pending& pending);
+
+  void Retry(Pending& pending, const Refusal& refusal);
+  bool MayRetry(const Pending& pending, const Refusal& refusal);
+  void Finish(Pending& pending, Result result);
+  void Refuse(Pending& pending, Reason reason, std::string detail,
+              std::chrono::nanoseconds retry_after);
+  void Log(const Pending& pending, EventKind kind, std::string_view what,
+           std::optional<Reason> reason, std::chrono::nanoseconds wait = {});
+  std::chrono::nanoseconds UsualLatency(const RouteName& route) const;
+  void LearnLatency(const RouteName& route, std::chrono::nanoseconds latency);
+  std::chrono::milliseconds SpreadRetry(const Pending& pending,
+                                        std::chrono::nanoseconds wait) const;
+  void RefuseHopeless();
+  void ReportLoad();
+  std::chrono::milliseconds ReportInterval() const;
+  GatewayActions Take();
+
+  const Identity identity;
+  Metrics& metrics;
+  GatewayTables tables;
+  RouteTable routes;
+  upstream::UpstreamBoard board;
+  std::map<RouteName, ShareDealer> dealers;
+  std::map<ServiceName, upstream::RetryBudget> budgets;
+  std::map<RouteName, std::chrono::nanoseconds> latencies;
+  std::map<peer::UpstreamHash, UpstreamId> by_hash;
+
+  std::unordered_map<Handle, Pending> requests;
+  std::unordered_map<std::uint64_t, Handle> by_slot;
+  std::unordered_map<DispatchId, Handle> by_dispatch;
+  std::map<LineKey, upstream::WaitLine> lines;
+  std::set<Handle> unowned;
+  std::map<ServiceName, std::vector<ShardKey>> demand;
+  std::map<DaemonId, MonotonicTime> peers;
+  Handle last_handle = 0;
+  std::uint64_t last_dispatch = 0;
+  MonotonicTime next_check;
+  MonotonicTime next_report;
+  bool reported_load = false;
+
+  // Valid during one call.
+  MonotonicTime now;
+  GatewayActions actions;
+};
+
+}  // namespace bamboorack::daemon
+
+#endif  // BAMBOORACK_DAEMON_GATEWAY_ROUTER_H_
--- a/include/bamboorack/upstream/range_leadership.h
+++ b/include/bamboorack/upstream/range_leadership.h
@@ -53,8 +53,13 @@
 
   /// A message of the leader of `term` arrived.
   void OnLeaderHeard(Term term, MonotonicTime now);
+  /// The leader of `term` has given its duty up.
+  void OnLeaderResigned(Term leader_term, MonotonicTime now);
   /// The process stood still: its mandate may have passed unnoticed.
   void OnSuspended(MonotonicTime now);
+  /// Sends no more orders until the next renewal. Called before a record is
+  /// sent that lets others claim at once.
+  void SuspendMandate() { this->mandate_until = MonotonicTime{}; }
   /// Gives the duty up; the daemon does not claim it again until `until`.
   void StepDown(MonotonicTime until);
 
--- /dev/null
+++ b/include/bamboorack/upstream/upstream_board.h
@@ -0,0 +1,120 @@
+#ifndef BAMBOORACK_UPSTREAM_UPSTREAM_BOARD_H_
+#define BAMBOORACK_UPSTREAM_UPSTREAM_BOARD_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "bamboorack/core/ids.h"
+#include "bamboorack/core/time.h"
+#include "bamboorack/core/upstream_registry.h"
+
+namespace bamboorack::upstream {
+
+/// How a request to an upstream ended, as far as it tells about the upstream.
+enum class UpstreamOutcome : std::uint8_t {
+  kAnswered,
+  /// The upstream answered with a failure of its own.
+  kFailed,
+  /// The upstream refused because it is full.
+  kFull,
+  /// The connection failed, or the answer was not one.
+  kLost,
+  /// No answer in time.
+  kTimedOut,
+  /// Ended for a reason that says nothing about the upstream.
+  kNeutral,
+};
+
+/// What this daemon knows of the upstreams that it sends to, and which of them
+/// a request goes to.
+///
+/// Load patterns: several daemons share upstreams of a few slots, so each
+/// counts the others' requests by their reports; an upstream that refuses,
+/// fails or turns slow gets less, without emptying a service; a service at its
+/// limit keeps what waits in the daemons, where it can be ordered.
+class UpstreamBoard {
+ public:
+  explicit UpstreamBoard(FailureDomain own_domain);
+
+  void SetUpstreams(const std::vector<RegisteredUpstream>& entries,
+                    MonotonicTime now);
+  /// What another daemon has in flight, for all upstreams at once.
+  void SetPeerLoad(const DaemonId& peer,
+                   const std::map<UpstreamId, std::uint32_t>& in_flight,
+                   MonotonicTime now);
+
+  void OnSent(const UpstreamId& id);
+  /// `latency` and `usual` are compared to learn the upstream's speed; `usual`
+  /// is the mean latency of such requests, 0 if unknown.
+  void OnEnded(const UpstreamId& id, UpstreamOutcome outcome,
+               std::chrono::nanoseconds latency,
+               std::chrono::nanoseconds usual, MonotonicTime now);
+
+  /// Returns the entry of an upstream that may get new requests, or null.
+  const RegisteredUpstream* Find(const UpstreamId& id) const;
+  /// Whether the upstream may get requests for keys that it holds. One that is
+  /// draining still may for `kDrainingUse`, until its keys have moved.
+  bool MayServeKeys(const UpstreamId& id, MonotonicTime now) const;
+  /// Whether the upstream can take one more request now.
+  bool HasRoom(const UpstreamId& id, MonotonicTime now) const;
+  /// Returns the best upstream of a service with room, or nothing. Skips
+  /// `tried`.
+  std::optional<UpstreamId> Choose(const ServiceName& service,
+                                   const std::set<UpstreamId>& tried,
+                                   MonotonicTime now) const;
+  /// Whether the service has an upstream that is not draining.
+  bool HasAny(const ServiceName& service) const;
+  /// The requests that all upstreams of a service may have in hand together.
+  double Slots(const ServiceName& service) const;
+
+  std::uint32_t OwnInFlight(const UpstreamId& id) const;
+  /// Latency against the mean; 1 is average, 0 if nothing was learned.
+  double LatencyRatio(const UpstreamId& id) const;
+  std::vector<UpstreamId> Ids() const;
+  bool IsEjected(const UpstreamId& id, MonotonicTime now) const;
+
+ private:
+  /// Less than the time within which a leaving upstream must get no new work,
+  /// by the time that the news takes.
+  static constexpr std::chrono::milliseconds kDrainingUse{900};
+
+  struct Row {
+    RegisteredUpstream entry;
+    /// Set while the upstream is draining or not listed any more.
+    std::optional<MonotonicTime> draining_since;
+    std::uint32_t in_flight = 0;
+    /// Smoothed; 0 before the first answer.
+    double latency_ratio = 0;
+    /// Requests that it may have in hand, lowered by refusals.
+    double limit = 1;
+    MonotonicTime limit_updated;
+    /// Smoothed share of requests that failed.
+    double failure_share = 0;
+    int failures_in_a_row = 0;
+    MonotonicTime ejected_until;
+    int ejections = 0;
+  };
+
+  struct PeerLoad {
+    std::map<UpstreamId, std::uint32_t> in_flight;
+    MonotonicTime at;
+  };
+
+  double InHand(const Row& row, MonotonicTime now) const;
+  double LimitOf(const Row& row, MonotonicTime now) const;
+  double Score(const Row& row, MonotonicTime now) const;
+  void Eject(Row& row, MonotonicTime now);
+  double EjectedShare(const ServiceName& service, MonotonicTime now) const;
+
+  const FailureDomain domain;
+  std::map<UpstreamId, Row> rows;
+  std::map<DaemonId, PeerLoad> peers;
+};
+
+}  // namespace bamboorack::upstream
+
+#endif  // BAMBOORACK_UPSTREAM_UPSTREAM_BOARD_H_
--- /dev/null
+++ b/lib/daemon/gateway.cc
@@ -0,0 +1,182 @@
+#include "bamboorack/daemon/gateway.h"
+
+#include <Poco/UUIDGenerator.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <utility>
+
+#include "bamboorack/caller/caller_thread.h"
+#include "bamboorack/core/metrics.h"
+#include "bamboorack/daemon/gateway_rings.h"
+#include "bamboorack/daemon/gateway_router_thread.h"
+#include "bamboorack/daemon/ownership_duty.h"
+#include "bamboorack/daemon/ownership_thread.h"
+#include "bamboorack/log_service/store_call_thread.h"
+#include "bamboorack/log_service/topic_follower_thread.h"
+#include "bamboorack/operator/readiness_server.h"
+#include "bamboorack/peer/gossip_thread.h"
+#include "bamboorack/upstream/upstream_thread.h"
+
+namespace bamboorack::daemon {
+namespace {
+
+using log_service::FollowPlan;
+using log_service::Topic;
+using std::chrono::milliseconds;
+
+// A change of the desired state ends the wait at once. The wait bounds how
+// long a silent connection hides one: less than the 2 s within which a change
+// has to be in force, with the time of one more read.
+constexpr milliseconds kDesiredStateWait{1'500};
+// Each upstream writes about once a second, so a read that waits for a record
+// would return at once. A leaving upstream must get no work 2 s after it said
+// so; the pace leaves time for its keys to move.
+constexpr milliseconds kUpstreamsPace{600};
+// Upstreams close idle connections after 10 s, unless they say otherwise.
+constexpr milliseconds kUpstreamIdle{5'000};
+
+std::string DrawInstance() {
+  return Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
+}
+
+caller::CallerThreadSettings CallerSettings(
+    const operators::GatewaySettings& settings, const GatewayAdapter& adapter) {
+  caller::CallerThreadSettings caller_settings;
+  caller_settings.listen = settings.caller_endpoint;
+  caller_settings.max_connections = settings.caller_connections;
+  caller_settings.protocol = adapter.callers;
+  return caller_settings;
+}
+
+upstream::UpstreamThreadSettings UpstreamSettings(
+    const operators::GatewaySettings& settings, const GatewayAdapter& adapter) {
+  upstream::UpstreamThreadSettings upstream_settings;
+  upstream_settings.connections_per_upstream =
+      settings.connections_per_upstream;
+  upstream_settings.idle_timeout = kUpstreamIdle;
+  upstream_settings.protocol = adapter.upstreams;
+  return upstream_settings;
+}
+
+upstream::RangeLeases LeasesOf(const operators::GatewaySettings& settings) {
+  upstream::RangeLeases leases;
+  leases.longest = settings.longest_lease;
+  leases.ordinary = std::min(leases.ordinary, leases.longest);
+  return leases;
+}
+
+}  // namespace
+
+class Gateway::Threads {
+ public:
+  Threads(const operators::GatewaySettings& gateway_settings,
+          const GatewayAdapter& gateway_adapter, EventLog& event_log)
+      : settings(gateway_settings),
+        adapter(gateway_adapter),
+        log(event_log),
+        instance(DrawInstance()),
+        duty({settings.daemon_id, instance, settings.gossip_endpoint},
+             LeasesOf(settings), adapter.documents, metrics,
+             std::chrono::steady_clock::now()),
+        ownership(duty, rings, log, metrics),
+        routing({settings.daemon_id, settings.failure_domain}, rings, log,
+                metrics),
+        callers(CallerSettings(settings, adapter), rings.caller_to_routing,
+                rings.routing_to_caller, metrics),
+        upstreams(UpstreamSettings(settings, adapter), rings.to_upstream,
+                  rings.upstream_to_routing, rings.upstream_to_control,
+                  metrics),
+        gossip({settings.daemon_id, instance, settings.gossip_endpoint},
+               rings.to_gossip, rings.gossip_to_routing,
+               rings.gossip_to_control, metrics),
+        store_calls(adapter.make_log(), rings.store_calls, rings.store_results,
+                    metrics),
+        desired_state({Topic::kDesiredState, kDesiredStateWait, {}},
+                      adapter.make_log(), rings.topics, metrics),
+        upstream_registry({Topic::kUpstreams, {}, kUpstreamsPace},
+                          adapter.make_log(), rings.topics, metrics) {}
+
+  tl::expected<void, std::string> Start() {
+    if (auto started = this->callers.Start(); !started) return started;
+    if (auto started = this->gossip.Start(); !started) return started;
+    auto server = operators::ReadinessServer::Start(
+        this->settings.readiness_endpoint, this->adapter.ready_path,
+        [this] { return this->IsReady(); }, this->metrics);
+    if (!server) return tl::make_unexpected(server.error());
+    this->readiness = std::move(*server);
+    if (auto started = this->upstreams.Start(); !started) return started;
+    this->routing.Start();
+    this->ownership.Start();
+    this->store_calls.Start();
+    this->desired_state.Start();
+    this->upstream_registry.Start();
+    return {};
+  }
+
+  bool IsReady() const { return !this->is_draining && this->ownership.IsReady(); }
+
+  void BeginDrain() {
+    this->is_draining = true;
+    this->callers.BeginDrain();
+    this->ownership.BeginStop();
+  }
+
+  void BeginStop() { this->callers.BeginStop(); }
+
+  bool IsDrained() const {
+    return this->ownership.IsHandedOver() && this->routing.IsIdle();
+  }
+
+  void Stop(MonotonicTime deadline) {
+    this->callers.Stop(deadline);
+    this->ownership.Stop();
+    this->upstreams.Stop(std::chrono::steady_clock::now());
+    this->routing.Stop();
+    this->desired_state.Stop();
+    this->upstream_registry.Stop();
+    this->store_calls.Stop();
+    this->gossip.Stop();
+    if (this->readiness != nullptr) this->readiness->Stop();
+  }
+
+ private:
+  operators::GatewaySettings settings;
+  GatewayAdapter adapter;
+  EventLog& log;
+  DaemonInstance instance;
+  Metrics metrics;
+  GatewayRings rings;
+  OwnershipDuty duty;
+  OwnershipThread ownership;
+  GatewayRouterThread routing;
+  caller::CallerThread callers;
+  upstream::UpstreamThread upstreams;
+  peer::GossipThread gossip;
+  log_service::StoreCallThread store_calls;
+  log_service::TopicFollowerThread desired_state;
+  log_service::TopicFollowerThread upstream_registry;
+  std::unique_ptr<operators::ReadinessServer> readiness;
+  std::atomic<bool> is_draining{false};
+};
+
+Gateway::Gateway(const operators::GatewaySettings& settings,
+                 const GatewayAdapter& adapter, EventLog& event_log)
+    : threads(std::make_unique<Threads>(settings, adapter, event_log)) {}
+
+Gateway::~Gateway() { this->threads->Stop(MonotonicTime()); }
+
+tl::expected<void, std::string> Gateway::Start() {
+  return this->threads->Start();
+}
+
+void Gateway::BeginDrain() { this->threads->BeginDrain(); }
+
+void Gateway::BeginStop() { this->threads->BeginStop(); }
+
+bool Gateway::IsDrained() const { return this->threads->IsDrained(); }
+
+void Gateway::Stop(MonotonicTime deadline) { this->threads->Stop(deadline); }
+
+}  // namespace bamboorack::daemon
--- /dev/null
+++ b/lib/daemon/gateway_router.cc
@@ -0,0 +1,574 @@
+#include "bamboorack/daemon/gateway_router.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "bamboorack/core/hash.h"
+#include "bamboorack/core/http_text.h"
+
+namespace bamboorack::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+using upstream::UpstreamOutcome;
+
+// Repeats are a fifth of the requests at most, over all daemons; the rest is
+// room for requests that are spread unevenly.
+constexpr double kRetryShare = 0.15;
+// The upstream's own answer at the limit is on its way for this time.
+constexpr milliseconds kAnswerTravel{80};
+// Keys in a planned move are back within the time of the work that ends first.
+constexpr milliseconds kOwnerPatience{450};
+constexpr milliseconds kNoOwnerRetry{500};
+constexpr milliseconds kNoStateRetry{500};
+constexpr milliseconds kLeastRetryAfter{60};
+// Before a request goes again to an upstream that was full or did not agree on
+// the owner.
+constexpr milliseconds kSameUpstreamPause{40};
+constexpr milliseconds kCheckEvery{20};
+constexpr milliseconds kReportEvery{100};
+// The load of this many daemons is exchanged at that pace; more report less
+// often, so that the messages of one daemon do not grow with their square.
+constexpr std::size_t kPeersAtFullPace = 6;
+constexpr std::chrono::seconds kPeerMemory{3};
+constexpr double kLatencyWeight = 0.05;
+constexpr nanoseconds kFirstLatency = milliseconds(120);
+
+UpstreamOutcome OutcomeOf(const Result& result) {
+  if (result) {
+    return result->status >= 500 ? UpstreamOutcome::kFailed
+                                 : UpstreamOutcome::kAnswered;
+  }
+  const Refusal& refusal = result.error();
+  if (refusal.reason == Reason::kUpstreamShed) return UpstreamOutcome::kFull;
+  if (refusal.reason == Reason::kDeadlinePassed) {
+    return refusal.ending == Ending::kUnknown ? UpstreamOutcome::kTimedOut
+                                              : UpstreamOutcome::kNeutral;
+  }
+  if (refusal.reason == Reason::kUpstreamLost) return UpstreamOutcome::kLost;
+  if (refusal.reason == Reason::kUpstreamBadAnswer) {
+    return UpstreamOutcome::kFailed;
+  }
+  return UpstreamOutcome::kNeutral;
+}
+
+/// Requests without a usable key are spread by what identifies them.
+ShardKey KeyOf(const Request& request) {
+  const auto number = ParseDecimal(request.key);
+  if (number && *number <= kLastKey.value) {
+    return ShardKey(static_cast<std::uint16_t>(*number));
+  }
+  return ShardKey(static_cast<std::uint16_t>(HashText(request.target)));
+}
+
+}  // namespace
+
+GatewayRouter::GatewayRouter(const Identity& own_identity, Metrics& registry)
+    : identity(own_identity),
+      metrics(registry),
+      board(own_identity.failure_domain) {}
+
+GatewayActions GatewayRouter::Take() { return std::exchange(this->actions, {}); }
+
+GatewayActions GatewayRouter::OnTables(const GatewayTables& new_tables,
+                                       MonotonicTime time) {
+  this->now = time;
+  const bool is_new_state = this->tables.desired != new_tables.desired;
+  const bool is_new_map = this->tables.owners != new_tables.owners;
+  this->tables = new_tables;
+  if (is_new_state && this->tables.desired) {
+    this->routes = RouteTable(*this->tables.desired);
+  }
+  if (this->tables.upstreams) {
+    this->board.SetUpstreams(*this->tables.upstreams, time);
+    this->by_hash.clear();
+    for (const RegisteredUpstream& entry : *this->tables.upstreams) {
+      this->by_hash.emplace(peer::HashOf(entry.run.id), entry.run.id);
+    }
+  }
+  if (is_new_map) this->ReplaceWaiting();
+  this->DrainAll();
+  return this->Take();
+}
+
+GatewayActions GatewayRouter::OnCaller(caller::FromCaller message,
+                                       MonotonicTime time) {
+  this->now = time;
+  if (auto* arrived = std::get_if<caller::RequestArrived>(&message)) {
+    this->OnArrived(std::move(*arrived));
+  } else {
+    this->OnGone(std::get<caller::CallerGone>(message));
+  }
+  return this->Take();
+}
+
+GatewayActions GatewayRouter::OnUpstream(upstream::UpstreamToRouting message,
+                                         MonotonicTime time) {
+  this->now = time;
+  if (auto* result = std::get_if<upstream::DispatchResult>(&message)) {
+    this->OnResult(std::move(*result));
+  }
+  return this->Take();
+}
+
+GatewayActions GatewayRouter::OnPeer(const peer::LoadReport& report,
+                                     MonotonicTime time) {
+  this->now = time;
+  this->peers[report.sender] = time;
+  std::map<UpstreamId, std::uint32_t> in_flight;
+  for (const peer::UpstreamLoad& load : report.upstreams) {
+    const auto found = this->by_hash.find(load.upstream);
+    if (found != this->by_hash.end()) in_flight[found->second] = load.in_flight;
+  }
+  this->board.SetPeerLoad(report.sender, in_flight, time);
+  this->DrainAll();
+  return this->Take();
+}
+
+void GatewayRouter::OnArrived(caller::RequestArrived arrived) {
+  Pending pending;
+  pending.handle = ++this->last_handle;
+  pending.slot = arrived.slot;
+  pending.arrived = this->now;
+  auto refusal = this->Admit(pending, arrived);
+  pending.request = std::move(arrived.request);
+  const Handle handle = pending.handle;
+  this->by_slot.emplace(pending.slot.value, handle);
+  Pending& stored =
+      this->requests.emplace(handle, std::move(pending)).first->second;
+  if (refusal) {
+    this->Finish(stored, tl::make_unexpected(std::move(*refusal)));
+    return;
+  }
+  this->budgets.try_emplace(stored.service, kRetryShare)
+      .first->second.OnRequest();
+  if (stored.is_sharded) this->demand[stored.service].push_back(stored.key);
+  this->PlaceRequest(stored, true);
+}
+
+std::optional<Refusal> GatewayRouter::Admit(
+    Pending& pending, const caller::RequestArrived& arrived) {
+  const Request& request = arrived.request;
+  if (!this->tables.desired || !this->tables.upstreams) {
+    return Refusal{Ending::kNotRun, Reason::kNoState,
+                   "no desired state is known yet", kNoStateRetry};
+  }
+  const Route* route = this->routes.Find(request.host, request.target);
+  if (route == nullptr) {
+    return Refusal{Ending::kNotRun, Reason::kUnknownService,
+                   "no route for host " + request.host};
+  }
+  pending.route = route->name;
+  pending.repeatability = route->repeatability;
+  pending.priority = route->priority;
+  pending.max_attempts = route->max_attempts;
+  pending.target = this->now + route->latency_target;
+  pending.limit = std::min(request.deadline, this->now + route->timeout);
+  const std::size_t share =
+      route->shares.size() == 1
+          ? 0
+          : this->dealers[route->name].Next(route->shares);
+  pending.service = route->shares.at(share).service;
+  const ServiceSpec* service =
+      this->tables.desired->FindService(pending.service);
+  pending.is_sharded = service != nullptr && service->is_sharded;
+  if (pending.is_sharded) pending.key = KeyOf(request);
+  return std::nullopt;
+}
+
+void GatewayRouter::PlaceRequest(Pending& pending, bool is_new) {
+  if (pending.is_sharded) {
+    this->PlaceSharded(pending, is_new);
+    return;
+  }
+  if (!this->board.HasAny(pending.service)) {
+    this->Refuse(pending, Reason::kOwnerUnreachable,
+                 "service " + pending.service.value + " has no upstream",
+                 kNoOwnerRetry);
+    return;
+  }
+  this->WaitOrSend(pending, {pending.service, UpstreamId()}, is_new);
+}
+
+void GatewayRouter::PlaceSharded(Pending& pending, bool is_new) {
+  const UpstreamRun* owner =
+      this->tables.owners == nullptr
+          ? nullptr
+          : this->tables.owners->FindOwner(pending.service, pending.key);
+  const bool is_disputed = this->tables.owners != nullptr &&
+                           pending.attempts > 0 &&
+                           pending.disputed == this->tables.owners->version &&
+                           this->now < pending.not_before;
+  if (owner == nullptr || is_disputed ||
+      !this->board.MayServeKeys(owner->id, this->now)) {
+    this->WaitForOwner(pending);
+    return;
+  }
+  this->WaitOrSend(pending, {pending.service, owner->id}, is_new);
+}
+
+void GatewayRouter::WaitForOwner(Pending& pending) {
+  if (pending.place != Place::kUnowned) {
+    pending.unowned_until =
+        std::min(this->now + kOwnerPatience, pending.limit);
+  }
+  pending.place = Place::kUnowned;
+  this->unowned.insert(pending.handle);
+}
+
+void GatewayRouter::WaitOrSend(Pending& pending, const LineKey& key,
+                               bool is_new) {
+  upstream::WaitLine& line = this->lines[key];
+  if (line.IsEmpty() && this->now >= pending.not_before) {
+    if (const auto upstream = this->PickFor(pending, key)) {
+      this->Send(pending, *upstream);
+      return;
+    }
+  }
+  const nanoseconds wait = line.ExpectedWait(pending.priority, this->now);
+  const nanoseconds usual = this->UsualLatency(pending.route);
+  if (is_new && this->now + wait + usual / 2 > pending.limit) {
+    this->Refuse(pending, Reason::kDeadlineWouldPass,
+                 "the line is longer than the time left", wait);
+    return;
+  }
+  pending.place = Place::kLine;
+  pending.line = key;
+  line.Push({pending.handle, pending.priority, pending.arrived, pending.target,
+             pending.limit, pending.not_before});
+}
+
+std::optional<UpstreamId> GatewayRouter::PickFor(const Pending& pending,
+                                                 const LineKey& key) const {
+  if (!key.upstream.IsEmpty()) {
+    if (!this->board.HasRoom(key.upstream, this->now)) return std::nullopt;
+    return key.upstream;
+  }
+  auto chosen = this->board.Choose(key.service, pending.tried, this->now);
+  if (!chosen && !pending.tried.empty()) {
+    chosen = this->board.Choose(key.service, {}, this->now);
+  }
+  return chosen;
+}
+
+void GatewayRouter::Send(Pending& pending, const UpstreamId& upstream) {
+  const UpstreamId id = upstream;
+  pending.place = Place::kInFlight;
+  pending.upstream = id;
+  pending.sent = this->now;
+  pending.dispatch = DispatchId(++this->last_dispatch);
+  ++pending.attempts;
+  pending.tried.insert(id);
+  this->by_dispatch.emplace(pending.dispatch, pending.handle);
+  this->board.OnSent(id);
+  upstream::Dispatch dispatch;
+  dispatch.id = pending.dispatch;
+  dispatch.upstream = {id, UpstreamInstance(id.value)};
+  for (const RegisteredUpstream& entry : *this->tables.upstreams) {
+    if (entry.run.id == id) dispatch.endpoint = entry.endpoint;
+  }
+  dispatch.send_before = pending.limit;
+  dispatch.finish_before = pending.limit;
+  dispatch.request = pending.request;
+  dispatch.request.deadline = pending.limit + kAnswerTravel;
+  this->actions.emplace_back(std::move(dispatch));
+}
+
+void GatewayRouter::LeaveLine(Pending& pending) {
+  if (pending.place == Place::kLine) {
+    this->lines[pending.line].Remove(pending.handle);
+  }
+  if (pending.place == Place::kUnowned) this->unowned.erase(pending.handle);
+  pending.place = Place::kNowhere;
+}
+
+void GatewayRouter::DrainLine(const LineKey& key) {
+  const auto found = this->lines.find(key);
+  if (found == this->lines.end()) return;
+  upstream::WaitLine& line = found->second;
+  while (!line.IsEmpty()) {
+    const auto ticket = line.Pop(kFirstLatency, this->now);
+    if (!ticket) return;
+    Pending& pending = this->requests.at(ticket->request);
+    const auto upstream = this->PickFor(pending, key);
+    if (!upstream) {
+      line.Return(*ticket);
+      return;
+    }
+    this->Send(pending, *upstream);
+  }
+}
+
+void GatewayRouter::DrainAll() {
+  for (auto& [key, line] : this->lines) {
+    if (!line.IsEmpty()) this->DrainLine(key);
+  }
+}
+
+void GatewayRouter::ReplaceWaiting() {
+  std::vector<Handle> waiting;
+  for (const auto& [handle, pending] : this->requests) {
+    const bool is_waiting =
+        pending.place == Place::kLine || pending.place == Place::kUnowned;
+    if (is_waiting && pending.is_sharded) waiting.push_back(handle);
+  }
+  std::sort(waiting.begin(), waiting.end());
+  for (const Handle handle : waiting) {
+    Pending& pending = this->requests.at(handle);
+    const bool was_unowned = pending.place == Place::kUnowned;
+    const MonotonicTime until = pending.unowned_until;
+    this->LeaveLine(pending);
+    if (was_unowned) {
+      // The patience counts from when the owner was first missing.
+      pending.place = Place::kUnowned;
+      pending.unowned_until = until;
+    }
+    this->PlaceRequest(pending, false);
+    if (was_unowned && this->requests.contains(handle) &&
+        pending.place != Place::kUnowned) {
+      this->unowned.erase(handle);
+    }
+  }
+}
+
+void GatewayRouter::OnGone(const caller::CallerGone& gone) {
+  const auto found = this->by_slot.find(gone.slot.value);
+  if (found == this->by_slot.end()) return;
+  Pending& pending = this->requests.at(found->second);
+  this->by_slot.erase(found);
+  if (pending.place != Place::kInFlight) {
+    this->LeaveLine(pending);
+    this->requests.erase(pending.handle);
+    return;
+  }
+  pending.caller_gone = true;
+  // Work that must not be repeated runs to its end, so that its outcome is
+  // clear; other work is given up.
+  if (IsIdempotent(pending.repeatability)) {
+    this->actions.emplace_back(upstream::CancelDispatch{pending.dispatch});
+  }
+}
+
+void GatewayRouter::OnResult(upstream::DispatchResult result) {
+  const auto found = this->by_dispatch.find(result.id);
+  if (found == this->by_dispatch.end()) return;
+  Pending& pending = this->requests.at(found->second);
+  this->by_dispatch.erase(found);
+  pending.place = Place::kNowhere;
+  const UpstreamId upstream = pending.upstream;
+  const ServiceName service = pending.service;
+  const LineKey own_line{service, upstream};
+  const LineKey service_line{service, UpstreamId()};
+  const nanoseconds latency = this->now - pending.sent;
+  const UpstreamOutcome outcome = pending.caller_gone
+                                      ? UpstreamOutcome::kNeutral
+                                      : OutcomeOf(result.result);
+  this->board.OnEnded(upstream, outcome, latency,
+                      this->UsualLatency(pending.route), this->now);
+  this->lines[pending.is_sharded ? own_line : service_line].OnServed(this->now);
+  if (outcome == UpstreamOutcome::kAnswered) {
+    this->LearnLatency(pending.route, latency);
+  }
+  if (pending.caller_gone) {
+    this->requests.erase(pending.handle);
+  } else if (!result.result && this->MayRetry(pending, result.result.error())) {
+    this->Retry(pending, result.result.error());
+  } else {
+    this->Finish(pending, std::move(result.result));
+  }
+  this->DrainLine(own_line);
+  this->DrainLine(service_line);
+}
+
+bool GatewayRouter::MayRetry(const Pending& pending, const Refusal& refusal) {
+  const bool is_safe = refusal.ending == Ending::kNotRun ||
+                       IsIdempotent(pending.repeatability);
+  if (!is_safe || pending.attempts >= pending.max_attempts) return false;
+  if (refusal.reason == Reason::kCancelled) return false;
+  if (refusal.reason == Reason::kStopping) return false;
+  const nanoseconds needed = this->UsualLatency(pending.route) / 2;
+  if (this->now + needed >= pending.limit) return false;
+  if (this->budgets.at(pending.service).TryTake()) return true;
+  this->metrics.Count("retry_budget_empty");
+  return false;
+}
+
+void GatewayRouter::Retry(Pending& pending, const Refusal& refusal) {
+  this->metrics.CountRetry(refusal.reason);
+  this->Log(pending, EventKind::kRequestTrouble, "retry", refusal.reason);
+  if (refusal.reason == Reason::kUpstreamRefusedOwner &&
+      this->tables.owners != nullptr) {
+    pending.disputed = this->tables.owners->version;
+  }
+  // A sharded request has one upstream only, which gets a moment.
+  if (pending.is_sharded) pending.not_before = this->now + kSameUpstreamPause;
+  this->PlaceRequest(pending, false);
+}
+
+void GatewayRouter::Finish(Pending& pending, Result result) {
+  const bool is_done = result.has_value();
+  if (!is_done) {
+    Refusal& refusal = result.error();
+    this->metrics.CountRefusal(refusal.reason);
+    if (refusal.ending == Ending::kNotRun && !refusal.retry_after) {
+      const LineKey key{pending.service,
+                        pending.is_sharded ? pending.upstream : UpstreamId()};
+      const auto line = this->lines.find(key);
+      refusal.retry_after = this->SpreadRetry(
+          pending, line == this->lines.end()
+                       ? nanoseconds(0)
+                       : line->second.ExpectedWait(pending.priority, this->now));
+    }
+    this->Log(pending, EventKind::kRequestTrouble,
+              refusal.ending == Ending::kNotRun ? "refused" : "failed",
+              refusal.reason,
+              refusal.retry_after.value_or(milliseconds(0)));
+  } else {
+    this->Log(pending, EventKind::kRequestDone, "answered", std::nullopt);
+    std::get<RequestEvent>(this->actions.back()).status = result->status;
+  }
+  this->by_slot.erase(pending.slot.value);
+  this->actions.emplace_back(caller::ToCaller{pending.slot, std::move(result)});
+  this->requests.erase(pending.handle);
+}
+
+void GatewayRouter::Refuse(Pending& pending, Reason reason, std::string detail,
+                           nanoseconds retry_after) {
+  this->LeaveLine(pending);
+  this->Finish(pending, tl::make_unexpected(Refusal{
+                            Ending::kNotRun, reason, std::move(detail),
+                            this->SpreadRetry(pending, retry_after)}));
+}
+
+milliseconds GatewayRouter::SpreadRetry(const Pending& pending,
+                                        nanoseconds wait) const {
+  // Callers that were refused together come back spread over half the wait.
+  constexpr std::uint64_t kSteps = 64;
+  const std::uint64_t step = HashText(pending.request.id.value) % kSteps;
+  const nanoseconds spread = wait / 2 * step / kSteps;
+  return std::max(kLeastRetryAfter, std::chrono::duration_cast<milliseconds>(
+                                        wait * 3 / 4 + spread));
+}
+
+void GatewayRouter::Log(const Pending& pending, EventKind kind,
+                        std::string_view what, std::optional<Reason> reason,
+                        nanoseconds wait) {
+  RequestEvent event;
+  event.kind = kind;
+  event.what = what;
+  event.request = pending.request.id;
+  event.route = pending.route;
+  event.upstream = pending.upstream;
+  event.attempts = pending.attempts;
+  event.age = this->now - pending.arrived;
+  event.reason = reason;
+  event.expected_wait = wait;
+  event.registry_age = this->now - this->tables.upstreams_read;
+  if (this->tables.desired) event.config = this->tables.desired->version;
+  if (this->tables.owners) event.owners = this->tables.owners->version;
+  this->actions.emplace_back(std::move(event));
+}
+
+nanoseconds GatewayRouter::UsualLatency(const RouteName& route) const {
+  const auto found = this->latencies.find(route);
+  return found == this->latencies.end() ? kFirstLatency : found->second;
+}
+
+void GatewayRouter::LearnLatency(const RouteName& route, nanoseconds latency) {
+  const auto [found, is_new] = this->latencies.try_emplace(route, latency);
+  if (is_new) return;
+  found->second += std::chrono::duration_cast<nanoseconds>(
+      (latency - found->second) * kLatencyWeight);
+}
+
+GatewayActions GatewayRouter::Tick(MonotonicTime time) {
+  this->now = time;
+  if (time >= this->next_check) {
+    this->next_check = time + kCheckEvery;
+    this->RefuseHopeless();
+    this->DrainAll();
+  }
+  if (time >= this->next_report) {
+    this->next_report = time + this->ReportInterval();
+    this->ReportLoad();
+  }
+  return this->Take();
+}
+
+void GatewayRouter::RefuseHopeless() {
+  std::vector<Handle> hopeless;
+  for (auto& [key, line] : this->lines) {
+    for (const upstream::WaitTicket& ticket :
+         line.TakeHopeless(kFirstLatency, this->now)) {
+      hopeless.push_back(ticket.request);
+    }
+  }
+  for (const Handle handle : hopeless) {
+    Pending& pending = this->requests.at(handle);
+    pending.place = Place::kNowhere;
+    this->Refuse(pending, Reason::kDeadlineWouldPass,
+                 "the time left is too short", kNoOwnerRetry);
+  }
+  const std::vector<Handle> waiting(this->unowned.begin(), this->unowned.end());
+  for (const Handle handle : waiting) {
+    Pending& pending = this->requests.at(handle);
+    if (this->now >= pending.unowned_until) {
+      this->Refuse(pending, Reason::kOwnerMoving,
+                   "nobody serves the key at the moment", kNoOwnerRetry);
+      continue;
+    }
+    if (pending.attempts == 0 || this->now < pending.not_before) continue;
+    // The dispute may be over: the upstream is asked once more.
+    this->PlaceRequest(pending, false);
+    if (this->requests.contains(handle) && pending.place != Place::kUnowned) {
+      this->unowned.erase(handle);
+    }
+  }
+}
+
+milliseconds GatewayRouter::ReportInterval() const {
+  const auto alive = std::count_if(
+      this->peers.begin(), this->peers.end(), [this](const auto& item) {
+        return this->now - item.second < kPeerMemory;
+      });
+  const auto factor =
+      std::max<std::size_t>(1, static_cast<std::size_t>(alive) / kPeersAtFullPace);
+  return kReportEvery * factor;
+}
+
+void GatewayRouter::ReportLoad() {
+  peer::LoadReport report;
+  report.sender = this->identity.daemon;
+  for (const UpstreamId& id : this->board.Ids()) {
+    const std::uint32_t in_flight = this->board.OwnInFlight(id);
+    const double ratio = this->board.LatencyRatio(id);
+    if (in_flight == 0 && ratio == 0) continue;
+    report.upstreams.push_back({peer::HashOf(id), in_flight, ratio});
+  }
+  for (auto& [service, keys] : this->demand) {
+    if (!keys.empty()) report.demands.push_back({service, std::move(keys)});
+  }
+  this->demand.clear();
+  const bool has_load = !report.upstreams.empty() || !report.demands.empty();
+  if (!has_load && !this->reported_load) return;
+  this->reported_load = has_load;
+  this->actions.emplace_back(std::move(report));
+}
+
+MonotonicTime GatewayRouter::NextWakeup() const {
+  const bool is_waiting =
+      !this->unowned.empty() ||
+      std::any_of(this->lines.begin(), this->lines.end(),
+                  [](const auto& item) { return !item.second.IsEmpty(); });
+  return is_waiting ? std::min(this->next_check, this->next_report)
+                    : this->next_report;
+}
+
+std::size_t GatewayRouter::Waiting() const {
+  std::size_t waiting = this->unowned.size();
+  for (const auto& [key, line] : this->lines) waiting += line.Size();
+  return waiting;
+}
+
+}  // namespace bamboorack::daemon
--- /dev/null
+++ b/lib/daemon/gateway_router_thread.cc
@@ -0,0 +1,156 @@
+#include "bamboorack/daemon/gateway_router_thread.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <variant>
+
+namespace bamboorack::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// Bounds the wait, so that a stop is noticed.
+constexpr milliseconds kLongestWait{200};
+// Items taken from one ring before the next ring gets its turn.
+constexpr int kItemsPerTurn = 64;
+
+}  // namespace
+
+GatewayRouterThread::GatewayRouterThread(
+    const GatewayRouter::Identity& identity, GatewayRings& all_rings,
+    EventLog& event_log, Metrics& registry)
+    : rings(all_rings),
+      log(event_log),
+      metrics(registry),
+      router(identity, registry) {
+  const auto notify = [this] { this->wakeup.Notify(); };
+  this->rings.caller_to_routing.SetWaker(notify);
+  this->rings.upstream_to_routing.SetWaker(notify);
+  this->rings.tables.SetWaker(notify);
+  // Reports of other daemons are taken at the next wake-up: they come often
+  // and are never urgent while requests pass.
+}
+
+GatewayRouterThread::~GatewayRouterThread() { this->Stop(); }
+
+void GatewayRouterThread::Start() {
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void GatewayRouterThread::Stop() {
+  this->is_stopping = true;
+  this->wakeup.Notify();
+  if (this->thread.joinable()) this->thread.join();
+}
+
+void GatewayRouterThread::Run() {
+  while (!this->is_stopping) {
+    const MonotonicTime now = steady_clock::now();
+    const bool had_input = this->HandleInputs(now);
+    this->CarryOut(this->router.Tick(now), now);
+    this->is_idle = this->router.IsIdle();
+    if (had_input) continue;
+    this->wakeup.WaitUntil(
+        std::min(this->router.NextWakeup(), now + kLongestWait));
+  }
+}
+
+template <typename Message, typename Handler>
+bool GatewayRouterThread::HandleSome(BoundedRing<Message>& ring, Handler handle,
+                                     MonotonicTime now) {
+  bool had_input = false;
+  for (int i = 0; i < kItemsPerTurn; ++i) {
+    auto message = ring.TryPop();
+    if (!message) break;
+    this->CarryOut((this->router.*handle)(std::move(*message), now), now);
+    had_input = true;
+  }
+  return had_input;
+}
+
+bool GatewayRouterThread::HandleInputs(MonotonicTime now) {
+  bool had_input =
+      this->HandleSome(this->rings.tables, &GatewayRouter::OnTables, now);
+  had_input |= this->HandleSome(this->rings.gossip_to_routing,
+                                &GatewayRouter::OnPeer, now);
+  had_input |= this->HandleSome(this->rings.upstream_to_routing,
+                                &GatewayRouter::OnUpstream, now);
+  had_input |= this->HandleSome(this->rings.caller_to_routing,
+                                &GatewayRouter::OnCaller, now);
+  return had_input;
+}
+
+void GatewayRouterThread::CarryOut(GatewayActions&& actions,
+                                   MonotonicTime now) {
+  // One row for each alternative of `GatewayAction`.
+  static constexpr std::array<ActionHandler, std::variant_size_v<GatewayAction>>
+      kHandlers = {&GatewayRouterThread::AnswerCaller,
+                   &GatewayRouterThread::Dispatch,
+                   &GatewayRouterThread::CancelDispatch,
+                   &GatewayRouterThread::ReportLoad,
+                   &GatewayRouterThread::LogRequest};
+  for (GatewayAction& action : actions) {
+    (this->*kHandlers.at(action.index()))(action, now);
+  }
+}
+
+void GatewayRouterThread::AnswerCaller(GatewayAction& action, MonotonicTime) {
+  auto& answer = std::get<caller::ToCaller>(action);
+  if (!this->rings.routing_to_caller.TryPush(std::move(answer))) {
+    this->metrics.Count("caller_answers_dropped");
+  }
+}
+
+void GatewayRouterThread::Dispatch(GatewayAction& action, MonotonicTime now) {
+  auto& dispatch = std::get<upstream::Dispatch>(action);
+  const DispatchId id = dispatch.id;
+  if (this->rings.to_upstream.TryPush(std::move(dispatch))) return;
+  this->CarryOut(this->router.OnUpstream(
+                     upstream::DispatchResult{id, NotRun(Reason::kRingFull)},
+                     now),
+                 now);
+}
+
+void GatewayRouterThread::CancelDispatch(GatewayAction& action,
+                                         MonotonicTime) {
+  const auto& cancel = std::get<upstream::CancelDispatch>(action);
+  if (!this->rings.to_upstream.TryPush(upstream::ToUpstream(cancel))) {
+    this->metrics.Count("cancels_dropped");
+  }
+}
+
+void GatewayRouterThread::ReportLoad(GatewayAction& action, MonotonicTime) {
+  auto& report = std::get<peer::LoadReport>(action);
+  this->metrics.SetGauge("requests_waiting",
+                         static_cast<double>(this->router.Waiting()));
+  this->metrics.SetGauge("requests_in_flight",
+                         static_cast<double>(this->router.InFlight()));
+  // The leader may be this daemon, so its own report goes there too.
+  if (!this->rings.gossip_to_control.TryPush(peer::Gossip(report)) ||
+      !this->rings.to_gossip.TryPush(peer::ToGossip(std::move(report)))) {
+    this->metrics.Count("reports_dropped");
+  }
+}
+
+void GatewayRouterThread::LogRequest(GatewayAction& action, MonotonicTime) {
+  const auto& event = std::get<RequestEvent>(action);
+  EventLine line = this->log.Line(event.kind, event.what);
+  line.Text("request", event.request.value)
+      .Text("route", event.route.value)
+      .Text("upstream", event.upstream.value)
+      .Count("attempts", event.attempts)
+      .Duration("age", event.age);
+  if (event.reason) line.Text("reason", InfoOf(*event.reason).name);
+  if (event.status != 0) {
+    line.Count("status", static_cast<std::uint64_t>(event.status));
+  }
+  line.Duration("expected_wait", event.expected_wait)
+      .Count("config", event.config.value)
+      .Count("owners_term", event.owners.term.value)
+      .Count("owners_change", event.owners.change)
+      .Duration("registry_age", event.registry_age);
+}
+
+}  // namespace bamboorack::daemon
--- /dev/null
+++ b/lib/daemon/ownership_thread.cc
@@ -0,0 +1,147 @@
+#include "bamboorack/daemon/ownership_thread.h"
+
+#include <time.h>
+
+#include <array>
+#include <utility>
+#include <variant>
+
+namespace bamboorack::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kTick{50};
+// Shorter differences are the reading of two clocks one after the other.
+constexpr milliseconds kLeastSuspension{60};
+
+/// Returns how long the machine has been suspended since its start.
+nanoseconds SuspendedTime() {
+  timespec boot{};
+  timespec steady{};
+  ::clock_gettime(CLOCK_BOOTTIME, &boot);
+  ::clock_gettime(CLOCK_MONOTONIC, &steady);
+  return seconds(boot.tv_sec - steady.tv_sec) +
+         nanoseconds(boot.tv_nsec - steady.tv_nsec);
+}
+
+}  // namespace
+
+OwnershipThread::OwnershipThread(OwnershipDuty& ownership_duty,
+                                 GatewayRings& all_rings, EventLog& event_log,
+                                 Metrics& registry)
+    : duty(ownership_duty),
+      rings(all_rings),
+      log(event_log),
+      metrics(registry),
+      suspended_before(SuspendedTime()) {
+  const auto notify = [this] { this->wakeup.Notify(); };
+  this->rings.topics.SetWaker(notify);
+  this->rings.store_results.SetWaker(notify);
+  this->rings.upstream_to_control.SetWaker(notify);
+  // Gossip is taken at the next tick.
+}
+
+OwnershipThread::~OwnershipThread() { this->Stop(); }
+
+void OwnershipThread::Start() {
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void OwnershipThread::BeginStop() {
+  this->must_begin_stop = true;
+  this->wakeup.Notify();
+}
+
+void OwnershipThread::Stop() {
+  this->is_stopping = true;
+  this->wakeup.Notify();
+  if (this->thread.joinable()) this->thread.join();
+}
+
+void OwnershipThread::Run() {
+  while (!this->is_stopping) {
+    const MonotonicTime now = steady_clock::now();
+    if (this->must_begin_stop.exchange(false)) this->duty.BeginStop();
+    this->CheckSuspension(now);
+    this->HandleInputs(now);
+    this->CarryOut(this->duty.Tick(now));
+    this->is_ready = this->duty.IsReady();
+    this->is_handed_over = this->duty.IsHandedOver();
+    this->wakeup.WaitUntil(now + kTick);
+  }
+}
+
+void OwnershipThread::CheckSuspension(MonotonicTime now) {
+  const nanoseconds suspended = SuspendedTime();
+  const nanoseconds length = suspended - this->suspended_before;
+  this->suspended_before = suspended;
+  if (length < kLeastSuspension) return;
+  this->CarryOut(this->duty.OnSuspended(length, now));
+}
+
+template <typename Message, typename Handler>
+void OwnershipThread::HandleAll(BoundedRing<Message>& ring, Handler handle,
+                                MonotonicTime now) {
+  while (auto message = ring.TryPop()) {
+    this->CarryOut((this->duty.*handle)(std::move(*message), now));
+  }
+}
+
+void OwnershipThread::HandleInputs(MonotonicTime now) {
+  this->HandleAll(this->rings.topics, &OwnershipDuty::OnTopic, now);
+  this->HandleAll(this->rings.gossip_to_control, &OwnershipDuty::OnGossip, now);
+  this->HandleAll(this->rings.store_results, &OwnershipDuty::OnStore, now);
+  this->HandleAll(this->rings.upstream_to_control, &OwnershipDuty::OnControl,
+                  now);
+}
+
+void OwnershipThread::CarryOut(DutyActions&& actions) {
+  // One row for each alternative of `DutyAction`.
+  static constexpr std::array<ActionHandler, std::variant_size_v<DutyAction>>
+      kHandlers = {&OwnershipThread::Publish, &OwnershipThread::CallStore,
+                   &OwnershipThread::CallUpstream,
+                   &OwnershipThread::SendGossip, &OwnershipThread::LogBelief};
+  for (DutyAction& action : actions) {
+    (this->*kHandlers.at(action.index()))(action);
+  }
+}
+
+void OwnershipThread::Publish(DutyAction& action) {
+  if (!this->rings.tables.TryPush(std::move(std::get<GatewayTables>(action)))) {
+    this->metrics.Count("tables_dropped");
+  }
+}
+
+void OwnershipThread::CallStore(DutyAction& action) {
+  auto& call = std::get<log_service::StoreCall>(action);
+  CHECK(this->rings.store_calls.TryPush(std::move(call)))
+      << "the duty has one call to the log outstanding at most";
+}
+
+void OwnershipThread::CallUpstream(DutyAction& action) {
+  auto& call = std::get<upstream::ControlCall>(action);
+  upstream::ControlResult refused{
+      call.id, call.upstream,
+      tl::make_unexpected(upstream::ControlError::kNotSent)};
+  if (this->rings.to_upstream.TryPush(std::move(call))) return;
+  this->CarryOut(this->duty.OnControl(refused, steady_clock::now()));
+}
+
+void OwnershipThread::SendGossip(DutyAction& action) {
+  auto& message = std::get<peer::ToGossip>(action);
+  if (!this->rings.to_gossip.TryPush(std::move(message))) {
+    this->metrics.Count("reports_dropped");
+  }
+}
+
+void OwnershipThread::LogBelief(DutyAction& action) {
+  const auto& event = std::get<BeliefEvent>(action);
+  EventLine line = this->log.Line(event.kind, event.what);
+  for (const auto& [name, value] : event.fields) line.Text(name, value);
+}
+
+}  // namespace bamboorack::daemon
--- /dev/null
+++ b/lib/upstream/ownership_codec.cc
@@ -0,0 +1,110 @@
+#include "bamboorack/upstream/ownership_codec.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+
+#include <sstream>
+
+namespace bamboorack::upstream {
+namespace {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+// A range is an array of its keys, the holder and the successor, so that the
+// record of a large service stays small: [first, last, holder, life,
+// successor, life]. Runs that are missing have an empty id.
+constexpr unsigned kFirst = 0;
+constexpr unsigned kLast = 1;
+constexpr unsigned kHolder = 2;
+constexpr unsigned kSuccessor = 4;
+constexpr unsigned kRangeFields = 6;
+
+void AddRun(Array& row, const std::optional<UpstreamRun>& run) {
+  row.add(run ? run->id.value : std::string());
+  row.add(run ? run->life.value : std::uint64_t{0});
+}
+
+std::optional<UpstreamRun> ReadRun(const Array& row, unsigned at) {
+  const auto id = row.getElement<std::string>(at);
+  if (id.empty()) return std::nullopt;
+  return UpstreamRun{UpstreamId(id),
+                     UpstreamLife(row.getElement<Poco::UInt64>(at + 1))};
+}
+
+ShardKey ReadKey(const Array& row, unsigned at) {
+  const auto key = row.getElement<Poco::UInt64>(at);
+  if (key > kLastKey.value) throw Poco::RangeException("key above 65535");
+  return ShardKey(static_cast<std::uint16_t>(key));
+}
+
+std::vector<RecordedRange> ReadRanges(const Array& rows) {
+  std::vector<RecordedRange> ranges;
+  ranges.reserve(rows.size());
+  for (unsigned i = 0; i < rows.size(); ++i) {
+    const Array::Ptr row = rows.getArray(i);
+    if (row.isNull() || row->size() != kRangeFields) {
+      throw Poco::DataFormatException("range without its six fields");
+    }
+    ranges.push_back({{ReadKey(*row, kFirst), ReadKey(*row, kLast)},
+                      ReadRun(*row, kHolder),
+                      ReadRun(*row, kSuccessor)});
+  }
+  return ranges;
+}
+
+}  // namespace
+
+std::string EncodeOwnership(const OwnershipRecord& record) {
+  Object services(Poco::JSON_PRESERVE_KEY_ORDER);
+  for (const auto& [service, ranges] : record.services) {
+    Array::Ptr rows = new Array;
+    for (const RecordedRange& range : ranges) {
+      Array::Ptr row = new Array;
+      row->add(range.range.first.value);
+      row->add(range.range.last.value);
+      AddRun(*row, range.holder);
+      AddRun(*row, range.successor);
+      rows->add(row);
+    }
+    services.set(service.value, rows);
+  }
+  Object json(Poco::JSON_PRESERVE_KEY_ORDER);
+  json.set("term", record.term.value);
+  json.set("leader", record.leader.value);
+  json.set("instance", record.instance.value);
+  json.set("change", record.change);
+  json.set("released", record.is_released);
+  json.set("services", services);
+  std::ostringstream text;
+  json.stringify(text);
+  return text.str();
+}
+
+tl::expected<OwnershipRecord, std::string> DecodeOwnership(
+    const std::string& text) {
+  try {
+    Poco::JSON::Parser parser;
+    const auto json = parser.parse(text).extract<Object::Ptr>();
+    OwnershipRecord record;
+    record.term = Term(json->getValue<Poco::UInt64>("term"));
+    record.leader = DaemonId(json->getValue<std::string>("leader"));
+    record.instance = DaemonInstance(json->getValue<std::string>("instance"));
+    record.change = json->getValue<Poco::UInt64>("change");
+    record.is_released = json->getValue<bool>("released");
+    const Object::Ptr services = json->getObject("services");
+    if (services.isNull()) return tl::make_unexpected("no services");
+    for (const std::string& name : services->getNames()) {
+      const Array::Ptr rows = services->getArray(name);
+      if (rows.isNull()) return tl::make_unexpected("no ranges of " + name);
+      record.services[ServiceName(name)] = ReadRanges(*rows);
+    }
+    return record;
+  } catch (const Poco::Exception& error) {
+    return tl::make_unexpected(error.displayText());
+  }
+}
+
+}  // namespace bamboorack::upstream
--- a/lib/upstream/range_leadership.cc
+++ b/lib/upstream/range_leadership.cc
@@ -142,6 +142,12 @@
   }
 }
 
+void RangeLeadership::OnLeaderResigned(Term leader_term, MonotonicTime now) {
+  if (this->role == Role::kLeader || leader_term < this->heard_term) return;
+  this->leader_heard = now - kLeaderSilence;
+  this->next_call = now;
+}
+
 void RangeLeadership::OnSuspended(MonotonicTime now) {
   // The monotonic clock does not count the time of a suspension, so nothing
   // that was measured with it holds any more.
--- /dev/null
+++ b/lib/upstream/upstream_board.cc
@@ -0,0 +1,246 @@
+#include "bamboorack/upstream/upstream_board.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboorack::upstream {
+namespace {
+
+using std::chrono::milliseconds;
+using Seconds = std::chrono::duration<double>;
+
+// A report of a peer that has fallen silent is not counted any more.
+constexpr milliseconds kReportAge{1'200};
+// Requests that wait at an upstream so that its slots do not run empty while
+// an answer travels back.
+constexpr double kReserve = 1.0;
+// A refused request lowers the limit by this factor; it then grows again by
+// one request each `kLimitGrowth`.
+constexpr double kLimitBackoff = 0.8;
+constexpr Seconds kLimitGrowth{0.5};
+constexpr double kSpeedWeight = 0.08;
+constexpr double kMinRatio = 0.2;
+constexpr double kMaxRatio = 8.0;
+constexpr double kFailureWeight = 0.15;
+constexpr int kEjectAfter = 3;
+constexpr milliseconds kFirstEjection{600};
+constexpr int kMaxDoublings = 3;
+// At most this share of a service is ejected at the same time.
+constexpr double kMaxEjected = 0.4;
+// How much longer an upstream of another failure domain may seem to take
+// before the own domain's is passed over: the way there, and bytes that are
+// charged for.
+constexpr double kOtherDomainFactor = 1.12;
+
+}  // namespace
+
+UpstreamBoard::UpstreamBoard(FailureDomain own_domain)
+    : domain(std::move(own_domain)) {}
+
+void UpstreamBoard::SetUpstreams(const std::vector<RegisteredUpstream>& entries,
+                                 MonotonicTime now) {
+  std::set<UpstreamId> listed;
+  for (const RegisteredUpstream& entry : entries) {
+    listed.insert(entry.run.id);
+    Row& row = this->rows[entry.run.id];
+    const bool is_new = row.entry.run != entry.run;
+    const std::uint32_t in_flight = row.in_flight;
+    if (is_new) {
+      row = Row{};
+      row.in_flight = in_flight;
+      row.limit = entry.slots + kReserve;
+      row.limit_updated = now;
+    }
+    row.entry = entry;
+  }
+  std::erase_if(this->rows, [&listed](const auto& item) {
+    return !listed.contains(item.first) && item.second.in_flight == 0;
+  });
+  for (auto& [id, row] : this->rows) {
+    // Kept for its requests in flight only.
+    if (!listed.contains(id)) row.entry.is_draining = true;
+    if (!row.entry.is_draining) row.draining_since.reset();
+    if (row.entry.is_draining && !row.draining_since) row.draining_since = now;
+  }
+}
+
+void UpstreamBoard::SetPeerLoad(
+    const DaemonId& peer, const std::map<UpstreamId, std::uint32_t>& in_flight,
+    MonotonicTime now) {
+  this->peers[peer] = {in_flight, now};
+}
+
+void UpstreamBoard::OnSent(const UpstreamId& id) {
+  const auto found = this->rows.find(id);
+  if (found != this->rows.end()) ++found->second.in_flight;
+}
+
+void UpstreamBoard::OnEnded(const UpstreamId& id, UpstreamOutcome outcome,
+                            std::chrono::nanoseconds latency,
+                            std::chrono::nanoseconds usual,
+                            MonotonicTime now) {
+  const auto found = this->rows.find(id);
+  if (found == this->rows.end()) return;
+  Row& row = found->second;
+  if (row.in_flight > 0) --row.in_flight;
+  if (outcome == UpstreamOutcome::kNeutral) return;
+  if (outcome == UpstreamOutcome::kFull) {
+    row.limit = std::max(1.0, std::min(this->LimitOf(row, now),
+                                       this->InHand(row, now) + 1) *
+                                  kLimitBackoff);
+    row.limit_updated = now;
+    return;
+  }
+  const bool failed = outcome != UpstreamOutcome::kAnswered;
+  row.failure_share += ((failed ? 1.0 : 0.0) - row.failure_share) *
+                       kFailureWeight;
+  const bool is_loss = outcome == UpstreamOutcome::kLost ||
+                       outcome == UpstreamOutcome::kTimedOut;
+  if (is_loss) {
+    if (++row.failures_in_a_row >= kEjectAfter) this->Eject(row, now);
+    return;
+  }
+  row.failures_in_a_row = 0;
+  if (!failed) row.ejections = 0;
+  if (failed || usual.count() <= 0) return;
+  const double ratio = std::clamp(Seconds(latency) / Seconds(usual), kMinRatio,
+                                  kMaxRatio);
+  row.latency_ratio = row.latency_ratio == 0
+                          ? 1 + (ratio - 1) * kSpeedWeight
+                          : row.latency_ratio +
+                                (ratio - row.latency_ratio) * kSpeedWeight;
+}
+
+void UpstreamBoard::Eject(Row& row, MonotonicTime now) {
+  row.failures_in_a_row = 0;
+  if (this->EjectedShare(row.entry.service, now) >= kMaxEjected) return;
+  row.ejected_until =
+      now + kFirstEjection * (1 << std::min(row.ejections, kMaxDoublings));
+  ++row.ejections;
+}
+
+double UpstreamBoard::EjectedShare(const ServiceName& service,
+                                   MonotonicTime now) const {
+  double all = 0;
+  double ejected = 0;
+  for (const auto& [id, row] : this->rows) {
+    if (row.entry.service != service || row.entry.is_draining) continue;
+    ++all;
+    if (now < row.ejected_until) ++ejected;
+  }
+  return all == 0 ? 1 : (ejected + 1) / all;
+}
+
+double UpstreamBoard::InHand(const Row& row, MonotonicTime now) const {
+  double in_hand = row.in_flight;
+  for (const auto& [peer, load] : this->peers) {
+    if (now - load.at > kReportAge) continue;
+    const auto found = load.in_flight.find(row.entry.run.id);
+    if (found != load.in_flight.end()) in_hand += found->second;
+  }
+  return in_hand;
+}
+
+double UpstreamBoard::LimitOf(const Row& row, MonotonicTime now) const {
+  const double grown = row.limit + Seconds(now - row.limit_updated) /
+                                       kLimitGrowth;
+  return std::min(grown, row.entry.slots + kReserve);
+}
+
+double UpstreamBoard::Score(const Row& row, MonotonicTime now) const {
+  const double ratio = row.latency_ratio == 0 ? 1 : row.latency_ratio;
+  const double slots = row.entry.slots;
+  const double in_hand = this->InHand(row, now);
+  // Below its slots an upstream is as fast as it is; above, requests wait.
+  const double queueing = std::max(1.0, (in_hand + 1) / slots);
+  const double usage = 1 + 0.3 * in_hand / slots;
+  const double distance =
+      row.entry.failure_domain == this->domain ? 1 : kOtherDomainFactor;
+  const double trust = 1 - std::min(row.failure_share, 0.9);
+  const bool is_cold = row.entry.warm_up_left.count() > 0;
+  return ratio * queueing * usage * distance * (is_cold ? 1.5 : 1) /
+         (trust * trust);
+}
+
+const RegisteredUpstream* UpstreamBoard::Find(const UpstreamId& id) const {
+  const auto found = this->rows.find(id);
+  if (found == this->rows.end() || found->second.entry.is_draining) {
+    return nullptr;
+  }
+  return &found->second.entry;
+}
+
+bool UpstreamBoard::MayServeKeys(const UpstreamId& id,
+                                 MonotonicTime now) const {
+  const auto found = this->rows.find(id);
+  if (found == this->rows.end()) return false;
+  const auto& since = found->second.draining_since;
+  return !since || now - *since < kDrainingUse;
+}
+
+bool UpstreamBoard::HasRoom(const UpstreamId& id, MonotonicTime now) const {
+  const auto found = this->rows.find(id);
+  if (found == this->rows.end()) return false;
+  const Row& row = found->second;
+  if (row.in_flight == 0) return true;
+  return this->InHand(row, now) < this->LimitOf(row, now);
+}
+
+std::optional<UpstreamId> UpstreamBoard::Choose(
+    const ServiceName& service, const std::set<UpstreamId>& tried,
+    MonotonicTime now) const {
+  const Row* best = nullptr;
+  double best_score = 0;
+  for (const auto& [id, row] : this->rows) {
+    if (row.entry.service != service || row.entry.is_draining) continue;
+    if (tried.contains(id) || now < row.ejected_until) continue;
+    if (!this->HasRoom(id, now)) continue;
+    const double score = this->Score(row, now);
+    if (best != nullptr && best_score <= score) continue;
+    best = &row;
+    best_score = score;
+  }
+  if (best == nullptr) return std::nullopt;
+  return best->entry.run.id;
+}
+
+bool UpstreamBoard::HasAny(const ServiceName& service) const {
+  return std::any_of(this->rows.begin(), this->rows.end(),
+                     [&service](const auto& item) {
+                       return item.second.entry.service == service &&
+                              !item.second.entry.is_draining;
+                     });
+}
+
+double UpstreamBoard::Slots(const ServiceName& service) const {
+  double slots = 0;
+  for (const auto& [id, row] : this->rows) {
+    if (row.entry.service != service || row.entry.is_draining) continue;
+    slots += row.entry.slots;
+  }
+  return slots;
+}
+
+std::uint32_t UpstreamBoard::OwnInFlight(const UpstreamId& id) const {
+  const auto found = this->rows.find(id);
+  return found == this->rows.end() ? 0 : found->second.in_flight;
+}
+
+double UpstreamBoard::LatencyRatio(const UpstreamId& id) const {
+  const auto found = this->rows.find(id);
+  return found == this->rows.end() ? 0 : found->second.latency_ratio;
+}
+
+std::vector<UpstreamId> UpstreamBoard::Ids() const {
+  std::vector<UpstreamId> ids;
+  ids.reserve(this->rows.size());
+  for (const auto& [id, row] : this->rows) ids.push_back(id);
+  return ids;
+}
+
+bool UpstreamBoard::IsEjected(const UpstreamId& id, MonotonicTime now) const {
+  const auto found = this->rows.find(id);
+  return found != this->rows.end() && now < found->second.ejected_until;
+}
+
+}  // namespace bamboorack::upstream
--- /dev/null
+++ b/lib/upstream/wait_line.cc
@@ -0,0 +1,115 @@
+#include "bamboorack/upstream/wait_line.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace bamboorack::upstream {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+using Seconds = std::chrono::duration<double>;
+
+// Every this many pops the least urgent request goes first: a floor of an
+// eighth, half of what a kind needs to be served a quarter as often as all.
+constexpr int kFloorEvery = 8;
+constexpr milliseconds kPeriod{500};
+constexpr std::size_t kNone = static_cast<std::size_t>(-1);
+
+}  // namespace
+
+void WaitLine::Push(const WaitTicket& ticket) {
+  this->tickets.push_back(ticket);
+}
+
+std::optional<WaitTicket> WaitLine::Pop(nanoseconds service_time,
+                                        MonotonicTime now) {
+  const bool is_floor_due = this->pops_since_floor + 1 >= kFloorEvery;
+  const Index index = is_floor_due ? this->FindLeastUrgent(now)
+                                   : this->FindNext(service_time, now);
+  if (index == kNone) return std::nullopt;
+  this->pops_since_floor = is_floor_due ? 0 : this->pops_since_floor + 1;
+  const WaitTicket ticket = this->tickets[index];
+  this->tickets[index] = this->tickets.back();
+  this->tickets.pop_back();
+  return ticket;
+}
+
+WaitLine::Index WaitLine::FindNext(nanoseconds service_time,
+                                   MonotonicTime now) const {
+  Index best = kNone;
+  const auto rank = [&](const WaitTicket& ticket) {
+    const bool is_late = now + service_time > ticket.target;
+    // In time before late; then by urgency; then by what runs out first.
+    return std::tuple(is_late, ticket.priority,
+                      is_late ? ticket.limit : ticket.target);
+  };
+  for (Index i = 0; i < this->tickets.size(); ++i) {
+    if (this->tickets[i].not_before > now) continue;
+    if (best == kNone || rank(this->tickets[i]) < rank(this->tickets[best])) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+WaitLine::Index WaitLine::FindLeastUrgent(MonotonicTime now) const {
+  Index best = kNone;
+  for (Index i = 0; i < this->tickets.size(); ++i) {
+    const WaitTicket& ticket = this->tickets[i];
+    if (ticket.not_before > now) continue;
+    if (best == kNone || ticket.priority > this->tickets[best].priority ||
+        (ticket.priority == this->tickets[best].priority &&
+         ticket.arrived < this->tickets[best].arrived)) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+bool WaitLine::Remove(std::uint64_t request) {
+  return std::erase_if(this->tickets, [request](const WaitTicket& ticket) {
+           return ticket.request == request;
+         }) > 0;
+}
+
+std::vector<WaitTicket> WaitLine::TakeHopeless(nanoseconds service_time,
+                                               MonotonicTime now) {
+  std::vector<WaitTicket> hopeless;
+  // Half the usual time: some requests are quicker than others.
+  std::erase_if(this->tickets, [&](const WaitTicket& ticket) {
+    if (now + service_time / 2 < ticket.limit) return false;
+    hopeless.push_back(ticket);
+    return true;
+  });
+  return hopeless;
+}
+
+void WaitLine::OnServed(MonotonicTime now) {
+  const auto elapsed = now - this->period_start;
+  if (elapsed > kPeriod) {
+    this->served_before = elapsed > 2 * kPeriod ? 0 : this->served_now;
+    this->served_now = 0;
+    this->period_start = now;
+  }
+  ++this->served_now;
+}
+
+nanoseconds WaitLine::ExpectedWait(std::uint32_t priority,
+                                   MonotonicTime now) const {
+  const auto ahead = std::count_if(this->tickets.begin(), this->tickets.end(),
+                                   [priority](const WaitTicket& ticket) {
+                                     return ticket.priority <= priority;
+                                   });
+  const double served = this->served_now + this->served_before;
+  // Before the first answer nothing is known, and nothing is refused for it.
+  if (ahead == 0 || served == 0) return nanoseconds(0);
+  const Seconds span = Seconds(kPeriod) +
+                       std::min(Seconds(now - this->period_start),
+                                Seconds(kPeriod));
+  const double rate = served / span.count();
+  return std::chrono::duration_cast<nanoseconds>(
+      Seconds(static_cast<double>(ahead) / rate));
+}
+
+}  // namespace bamboorack::upstream
--- /dev/null
+++ b/tools/gateway/main.cc
@@ -0,0 +1,141 @@
+#include <glog/logging.h>
+
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+
+#include "bamboorack/core/event_log.h"
+#include "bamboorack/daemon/gateway.h"
+#include "bamboorack/operator/gateway_settings.h"
+#include "bamboorack/operator/settings.h"
+#include "platform/caller_protocol.h"
+#include "platform/documents.h"
+#include "platform/names.h"
+#include "platform/settings.h"
+#include "platform/store_log.h"
+#include "platform/upstream_protocol.h"
+
+namespace {
+
+using bamboorack::EventKind;
+using bamboorack::EventLog;
+using bamboorack::MonotonicTime;
+using bamboorack::daemon::Gateway;
+using bamboorack::daemon::GatewayAdapter;
+using bamboorack::operators::GatewaySettings;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+// The load balancer takes a daemon out after two misses, one second apart.
+// Until then it sends new connections.
+constexpr milliseconds kNoticeTime{3'000};
+// Left between the last answer and the kill.
+constexpr milliseconds kExitMargin{600};
+constexpr milliseconds kPollInterval{100};
+
+/// Returns the signal that arrived within `wait`, or 0.
+int WaitForSignal(const sigset_t& signals, seconds wait, milliseconds part) {
+  const timespec limit{
+      wait.count(),
+      std::chrono::duration_cast<std::chrono::nanoseconds>(part).count()};
+  const int signal = ::sigtimedwait(&signals, nullptr, &limit);
+  return signal > 0 ? signal : 0;
+}
+
+GatewayAdapter MakeAdapter(const GatewaySettings& settings) {
+  using namespace bamboorack::platform;
+  return {MakeCallerProtocol(), MakeUpstreamProtocol(), MakeDocuments(),
+          MakeStoreLogFactory(settings.log_endpoint), std::string(kReadyPath)};
+}
+
+void WaitForStop(const sigset_t& signals, EventLog& log) {
+  while (true) {
+    const int signal = WaitForSignal(signals, seconds(60), milliseconds(0));
+    if (signal == SIGHUP) {
+      // Every setting is read at the start only.
+      log.Line(EventKind::kProcess, "settings_kept").Text("cause", "SIGHUP");
+      continue;
+    }
+    if (signal != 0) return;
+  }
+}
+
+void Stop(Gateway& gateway, const GatewaySettings& settings,
+          const sigset_t& signals) {
+  const MonotonicTime begun = steady_clock::now();
+  const MonotonicTime deadline = begun + settings.stop_time - kExitMargin;
+  const MonotonicTime notice_end =
+      begun + std::min(kNoticeTime, settings.stop_time / 2);
+  gateway.BeginDrain();
+  while (steady_clock::now() < notice_end) {
+    WaitForSignal(signals, seconds(0), kPollInterval);
+  }
+  gateway.BeginStop();
+  while (!gateway.IsDrained() && steady_clock::now() < deadline) {
+    WaitForSignal(signals, seconds(0), kPollInterval);
+  }
+  gateway.Stop(deadline);
+}
+
+int Serve(const GatewaySettings& settings, const sigset_t& signals) {
+  EventLog log(settings.daemon_id.value, std::cout);
+  Gateway gateway(settings, MakeAdapter(settings), log);
+  if (const auto started = gateway.Start(); !started) {
+    std::cerr << started.error() << '\n';
+    return 1;
+  }
+  log.Line(EventKind::kProcess, "started").Text("version", BAMBOORACK_VERSION);
+  WaitForStop(signals, log);
+  log.Line(EventKind::kProcess, "stopping");
+  Stop(gateway, settings, signals);
+  log.Line(EventKind::kProcess, "stopped");
+  return 0;
+}
+
+}  // namespace
+
+/// Runs one gateway on the users' platform until SIGTERM or SIGINT. Exit codes:
+/// 0 after a planned stop, 1 if a listener cannot be opened, 2 for wrong usage
+/// or settings.
+int main(int argc, char** argv) {
+  CLI::App app("bamboorack gateway for the users' platform");
+  std::string path;
+  bool check_only = false;
+  app.add_option("--settings", path, "file with the gateway's settings")
+      ->envname(bamboorack::platform::kSettingsVariable)
+      ->required()
+      ->check(CLI::ExistingFile);
+  app.add_flag("--check", check_only, "check the settings and exit");
+  app.set_version_flag("--version", BAMBOORACK_VERSION);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : 2;
+  }
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  const auto settings = bamboorack::platform::ReadSettings(text.str());
+  if (!settings) {
+    std::cerr << bamboorack::operators::ToText(settings.error());
+    return 2;
+  }
+  if (check_only) return 0;
+  // Blocked before the first thread starts, so that only main receives them.
+  sigset_t signals;
+  ::sigemptyset(&signals);
+  ::sigaddset(&signals, SIGTERM);
+  ::sigaddset(&signals, SIGINT);
+  ::sigaddset(&signals, SIGHUP);
+  ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return Serve(*settings, signals);
+}
