upstream, daemon: reset abandoned connections, state what a former leader granted

After a change of leader, keys of lost upstreams waited 10 s, the longest lease that the predecessor may have granted. Change: an exchange that fails resets its connection; a former leader tells when its leases end, tied to its newest record; leases are extended only if the other daemons have no contact with the log either; a leader's mandate is 1 s; an upstream whose address has another instance, or that fails several requests in a row, is passed over at once.

--- a/include/bamboorack/core/http_connection.h
+++ b/include/bamboorack/core/http_connection.h
@@ -66,6 +66,10 @@
   /// Bytes that the kernel has taken since the connection was opened.
   std::uint64_t BytesWritten() const { return this->bytes_written; }
 
+  /// Makes the end of this connection a reset: what was sent and not received
+  /// yet is lost.
+  void ResetOnClose();
+
   /// Tells the peer that nothing more will be sent.
   void CloseSend();
 
--- a/include/bamboorack/daemon/ownership_duty.h
+++ b/include/bamboorack/daemon/ownership_duty.h
@@ -95,6 +95,13 @@
   void CallForDirectory();
   void AppendOwnership(upstream::RangeLeadership::Wish wish);
   void Lead();
+  /// When the leases of the predecessor have ended for certain.
+  MonotonicTime PredecessorLeasesEnd(
+      const upstream::OwnershipRecord& record) const;
+  /// Whether the log seems to be out of reach of the other daemons too, so that
+  /// no successor will come.
+  bool IsCommonOutage() const;
+  void StateLapse();
   void CheckReach();
   void PlanMoves();
   std::vector<upstream::RangeCandidate> Candidates(const ServiceName& service);
@@ -129,6 +136,17 @@
   MonotonicTime next_beat;
   MonotonicTime next_full_beat;
   OwnerMapVersion sent_version;
+  /// When the newest record was read, for the leases that it tells of.
+  MonotonicTime newest_read;
+  /// The last statement of a former leader, and when its leases end.
+  std::optional<peer::LeaseStatement> statement;
+  MonotonicTime statement_end;
+  /// When each daemon last had an answer of the log, and last reported.
+  struct PeerContact {
+    MonotonicTime log_contact;
+    MonotonicTime heard;
+  };
+  std::map<DaemonId, PeerContact> peer_contacts;
   std::optional<MonotonicTime> unreachable_since;
   bool wants_to_step_down = false;
 
--- a/include/bamboorack/peer/gossip.h
+++ b/include/bamboorack/peer/gossip.h
@@ -1,6 +1,7 @@
 #ifndef BAMBOORACK_PEER_GOSSIP_H_
 #define BAMBOORACK_PEER_GOSSIP_H_
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <variant>
@@ -37,6 +38,17 @@
   DaemonId sender;
   std::vector<UpstreamLoad> upstreams;
   std::vector<KeyDemand> demands;
+  /// How long ago the platform's log last answered the sender; nothing if it
+  /// never did.
+  std::optional<std::chrono::milliseconds> log_contact_age{};
+};
+
+/// A former leader's word that it sends no more orders.
+struct LeaseStatement {
+  /// The end of the log after its newest record. It holds only for this one.
+  LogOffset log_end;
+  /// Its leases end within this time from when the statement was received.
+  std::chrono::milliseconds leases_left{0};
 };
 
 /// Shows that the leader of ownership is there, and who owns which keys.
@@ -44,6 +56,8 @@
   DaemonId sender;
   OwnerMapVersion version;
   bool has_resigned = false;
+  /// Set once the sender's mandate has ended.
+  std::optional<LeaseStatement> lapsed{};
   /// Empty in beats between changes.
   std::optional<OwnerMap> owners;
 };
--- a/include/bamboorack/upstream/ownership_record.h
+++ b/include/bamboorack/upstream/ownership_record.h
@@ -1,6 +1,7 @@
 #ifndef BAMBOORACK_UPSTREAM_OWNERSHIP_RECORD_H_
 #define BAMBOORACK_UPSTREAM_OWNERSHIP_RECORD_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -36,6 +37,8 @@
   std::uint64_t change = 0;
   /// The leader has ended its duty and sends no more orders.
   bool is_released = false;
+  /// Of a released record: all leases end within this time after it was read.
+  std::chrono::milliseconds leases_left{0};
   std::map<ServiceName, std::vector<RecordedRange>> services;
 
   bool operator==(const OwnershipRecord&) const = default;
--- a/include/bamboorack/upstream/range_keeper.h
+++ b/include/bamboorack/upstream/range_keeper.h
@@ -24,7 +24,7 @@
 struct RangeLeases {
   /// Ordinary leases: short, so that the keys of a lost upstream are back
   /// soon; longer than a change of leader takes.
-  std::chrono::milliseconds ordinary{4'000};
+  std::chrono::milliseconds ordinary{3'000};
   /// The longest that upstreams accept, granted when an outage begins.
   std::chrono::milliseconds longest{10'000};
 };
@@ -66,9 +66,15 @@
  public:
   explicit RangeKeeper(const RangeLeases& range_leases) : leases(range_leases) {}
 
-  /// Starts a term with what the last record says. The predecessor may have
-  /// sent its last orders until `now`.
-  void TakeOver(const OwnershipRecord& record, Term term, MonotonicTime now);
+  /// Starts a term with what the last record says. No lease of the predecessor
+  /// lasts longer than `leases_end`.
+  void TakeOver(const OwnershipRecord& record, Term new_term,
+                MonotonicTime leases_end, MonotonicTime now);
+  /// The latest end of a lease that a predecessor may have granted until `now`
+  /// without a word about it.
+  MonotonicTime LatestLeaseEnd(MonotonicTime now) const;
+  /// The latest end of any lease that this keeper granted.
+  MonotonicTime LastLeaseEnd() const;
   /// Makes sure that each sharded service has its keys.
   void SetServices(const std::vector<ServiceName>& sharded);
   void SetUpstreams(const std::vector<RegisteredUpstream>& entries,
@@ -153,7 +159,7 @@
 
   struct Departed {
     Endpoint endpoint;
-    /// Another upstream may have the address after this time.
+    /// The keys are not taken back any more after this time.
     MonotonicTime until;
   };
 
--- a/include/bamboorack/upstream/range_leadership.h
+++ b/include/bamboorack/upstream/range_leadership.h
@@ -19,16 +19,16 @@
 /// record tells that the leader has gone.
 class RangeLeadership {
  public:
-  /// Covers two lost renewals in a row on a log that answers in 100 ms.
-  static constexpr std::chrono::milliseconds kMandate{1'500};
+  /// Covers a renewal that fails on a log that answers in 250 ms.
+  static constexpr std::chrono::milliseconds kMandate{1'000};
   /// The mandate, and the way of the last order to an upstream.
-  static constexpr std::chrono::milliseconds kTakeoverWait{1'900};
-  static constexpr std::chrono::milliseconds kRenewEvery{450};
+  static constexpr std::chrono::milliseconds kTakeoverWait{1'250};
+  static constexpr std::chrono::milliseconds kRenewEvery{300};
   /// Without a renewal for this long, the leader prepares for an outage.
-  static constexpr std::chrono::milliseconds kTroubleAfter{850};
+  static constexpr std::chrono::milliseconds kTroubleAfter{600};
   /// A follower looks at the record when it has not heard of the leader for
   /// this time: two periods of the leader's messages.
-  static constexpr std::chrono::milliseconds kLeaderSilence{500};
+  static constexpr std::chrono::milliseconds kLeaderSilence{400};
 
   enum class Role : std::uint8_t { kFollower, kLeader };
 
@@ -69,10 +69,13 @@
   Role GetRole() const { return this->role; }
   /// The own term of a leader, the term to claim of a follower.
   Term OwnTerm() const { return this->term; }
+  /// Where the log ended when the record was observed that a claim replaced.
+  LogOffset PredecessorEnd() const { return this->predecessor_end; }
   LogOffset ExpectedEnd() const { return this->expected_end; }
   /// Set for one call after the daemon became leader: the record it took over.
   std::optional<OwnershipRecord> TakePredecessor();
-  MonotonicTime MandateUntil() const { return this->mandate_until; }
+  /// When the last renewal that took effect was sent.
+  MonotonicTime LastRenewal() const { return this->last_renewal; }
 
  private:
   bool IsOwn(const OwnershipRecord& record) const;
@@ -105,6 +108,7 @@
   MonotonicTime last_renewal;
   bool needs_read = false;
   std::optional<OwnershipRecord> predecessor;
+  LogOffset predecessor_end;
 };
 
 }  // namespace bamboorack::upstream
--- a/include/bamboorack/upstream/upstream_board.h
+++ b/include/bamboorack/upstream/upstream_board.h
@@ -25,6 +25,8 @@
   kLost,
   /// No answer in time.
   kTimedOut,
+  /// Another upstream has its address, so this run has ended.
+  kReplaced,
   /// Ended for a reason that says nothing about the upstream.
   kNeutral,
 };
@@ -75,7 +77,12 @@
   /// Latency against the mean; 1 is average, 0 if nothing was learned.
   double LatencyRatio(const UpstreamId& id) const;
   std::vector<UpstreamId> Ids() const;
+  /// Whether the upstream gets no requests for now, since it failed several in
+  /// a row or another one has its address.
   bool IsEjected(const UpstreamId& id, MonotonicTime now) const;
+  /// Lets one request through to an ejected upstream from time to time, to
+  /// find out whether it is back.
+  bool TakeProbe(const UpstreamId& id, MonotonicTime now);
 
  private:
   /// Less than the time within which a leaving upstream must get no new work,
@@ -84,6 +91,8 @@
 
   struct Row {
     RegisteredUpstream entry;
+    /// Another upstream has its address; only a new run changes that.
+    bool is_replaced = false;
     /// Set while the upstream is draining or not listed any more.
     std::optional<MonotonicTime> draining_since;
     std::uint32_t in_flight = 0;
@@ -97,6 +106,7 @@
     int failures_in_a_row = 0;
     MonotonicTime ejected_until;
     int ejections = 0;
+    MonotonicTime next_probe;
   };
 
   struct PeerLoad {
--- a/include/bamboorack/upstream/upstream_protocol.h
+++ b/include/bamboorack/upstream/upstream_protocol.h
@@ -38,7 +38,8 @@
   /// Returns whether an answer with this head may belong to `request`.
   virtual bool IsAnswerTo(const AnswerHead& head,
                           const RequestId& request) const = 0;
-  virtual Result DecodeDispatchAnswer(AnswerHead head, Body body) const = 0;
+  virtual Result DecodeDispatchAnswer(const Dispatch& dispatch, AnswerHead head,
+                                      Body body) const = 0;
   virtual tl::expected<ControlAnswer, ControlError> DecodeControlAnswer(
       const ControlRequest& request, const AnswerHead& head,
       const std::string& body) const = 0;
--- a/lib/core/http_connection.cc
+++ b/lib/core/http_connection.cc
@@ -154,6 +154,15 @@
   return IoStatus::kOk;
 }
 
+void HttpConnection::ResetOnClose() {
+  try {
+    this->socket.setLinger(true, 0);
+  } catch (const Poco::Exception&) {
+    // The connection is broken already.
+    return;
+  }
+}
+
 void HttpConnection::CloseSend() {
   try {
     this->socket.shutdownSend();
--- a/lib/daemon/gateway.cc
+++ b/lib/daemon/gateway.cc
@@ -36,6 +36,9 @@
 constexpr milliseconds kUpstreamsPace{600};
 // Upstreams close idle connections after 10 s, unless they say otherwise.
 constexpr milliseconds kUpstreamIdle{5'000};
+// Far above the way between two failure domains, and far below the time that
+// callers wait.
+constexpr milliseconds kConnectTimeout{200};
 
 std::string DrawInstance() {
   return Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
@@ -56,6 +59,7 @@
   upstream_settings.connections_per_upstream =
       settings.connections_per_upstream;
   upstream_settings.idle_timeout = kUpstreamIdle;
+  upstream_settings.connect_timeout = kConnectTimeout;
   upstream_settings.protocol = adapter.upstreams;
   return upstream_settings;
 }
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -21,6 +21,8 @@
 // Keys in a planned move are back within the time of the work that ends first.
 constexpr milliseconds kOwnerPatience{450};
 constexpr milliseconds kNoOwnerRetry{500};
+// Keys of a lost upstream are back when its lease has run out.
+constexpr milliseconds kLostOwnerRetry{900};
 constexpr milliseconds kNoStateRetry{500};
 constexpr milliseconds kLeastRetryAfter{60};
 // Before a request goes again to an upstream that was full or did not agree on
@@ -47,6 +49,9 @@
                                               : UpstreamOutcome::kNeutral;
   }
   if (refusal.reason == Reason::kUpstreamLost) return UpstreamOutcome::kLost;
+  if (refusal.reason == Reason::kUpstreamReplaced) {
+    return UpstreamOutcome::kReplaced;
+  }
   if (refusal.reason == Reason::kUpstreamBadAnswer) {
     return UpstreamOutcome::kFailed;
   }
@@ -205,7 +210,15 @@
     this->WaitForOwner(pending);
     return;
   }
-  this->WaitOrSend(pending, {pending.service, owner->id}, is_new);
+  // Waiting for an upstream that does not answer helps nobody.
+  const UpstreamId id = owner->id;
+  if (this->board.IsEjected(id, this->now) &&
+      !this->board.TakeProbe(id, this->now)) {
+    this->Refuse(pending, Reason::kOwnerUnreachable,
+                 "the key's owner does not answer", kLostOwnerRetry);
+    return;
+  }
+  this->WaitOrSend(pending, {pending.service, id}, is_new);
 }
 
 void GatewayRouter::WaitForOwner(Pending& pending) {
@@ -550,6 +563,11 @@
     if (!keys.empty()) report.demands.push_back({service, std::move(keys)});
   }
   this->demand.clear();
+  if (this->tables.upstreams_read != MonotonicTime{}) {
+    report.log_contact_age = std::max(
+        milliseconds(0), std::chrono::duration_cast<milliseconds>(
+                             this->now - this->tables.upstreams_read));
+  }
   const bool has_load = !report.upstreams.empty() || !report.demands.empty();
   if (!has_load && !this->reported_load) return;
   this->reported_load = has_load;
--- a/lib/daemon/ownership_duty.cc
+++ b/lib/daemon/ownership_duty.cc
@@ -23,9 +23,9 @@
 using AppendOutcome = tl::expected<LogOffset, KeyedAppendFailure>;
 
 constexpr std::string_view kOwnershipKey = "owners";
-constexpr milliseconds kStoreLimit{600};
+constexpr milliseconds kStoreLimit{450};
 constexpr milliseconds kPlanEvery{250};
-constexpr milliseconds kBeatEvery{200};
+constexpr milliseconds kBeatEvery{150};
 constexpr milliseconds kFullBeatEvery{1'000};
 // The list of daemons changes only when VMs are replaced, and daemons learn of
 // each other by their messages.
@@ -36,6 +36,8 @@
 constexpr double kLostShare = 0.5;
 constexpr milliseconds kLostTime{700};
 constexpr seconds kStepDownTime{7};
+// Reports that are older say nothing of the present.
+constexpr seconds kReportAge{1};
 constexpr double kMinSpeed = 0.25;
 constexpr double kMaxSpeed = 2.5;
 
@@ -96,6 +98,7 @@
   if (update.topic == Topic::kUpstreams && is_up) {
     this->registry.NoteContact(this->now);
     this->tables.upstreams_read = update.at;
+    this->has_new_tables = this->tables.upstreams != nullptr;
   }
   const auto [known, is_new] =
       this->store_contact.try_emplace(update.topic, is_up);
@@ -205,6 +208,7 @@
     record = std::move(*decoded);
   }
   this->newest_record = record;
+  this->newest_read = this->now;
   this->leadership.OnRead(record, read->end, this->now);
 }
 
@@ -223,8 +227,11 @@
   this->is_release_sent = false;
   this->wants_to_step_down = false;
   this->leadership.StepDown(this->now + kStepDownTime);
-  this->actions.emplace_back(peer::ToGossip(peer::LeaderBeat{
-      this->identity.daemon, this->sent_version, true, std::nullopt}));
+  peer::LeaderBeat beat;
+  beat.sender = this->identity.daemon;
+  beat.version = this->sent_version;
+  beat.has_resigned = true;
+  this->actions.emplace_back(peer::ToGossip(std::move(beat)));
   this->Say(EventKind::kOwnership, "leadership_released",
             {{"term", TextOf(this->leadership.OwnTerm())}});
 }
@@ -267,6 +274,11 @@
 }
 
 void OwnershipDuty::OnReport(const peer::LoadReport& report) {
+  PeerContact& contact = this->peer_contacts[report.sender];
+  contact.heard = this->now;
+  if (report.log_contact_age) {
+    contact.log_contact = this->now - *report.log_contact_age;
+  }
   for (const peer::UpstreamLoad& load : report.upstreams) {
     if (load.latency_ratio <= 0) continue;
     this->latency_ratios[load.upstream][report.sender] = load.latency_ratio;
@@ -279,6 +291,12 @@
 }
 
 void OwnershipDuty::OnBeat(const peer::LeaderBeat& beat) {
+  if (beat.lapsed) {
+    this->statement = beat.lapsed;
+    this->statement_end = this->now + beat.lapsed->leases_left;
+    this->leadership.OnLeaderResigned(beat.version.term, this->now);
+    return;
+  }
   if (beat.has_resigned) {
     this->leadership.OnLeaderResigned(beat.version.term, this->now);
     return;
@@ -314,7 +332,8 @@
 void OwnershipDuty::Lead() {
   const RangeLeadership::Role role = this->leadership.GetRole();
   if (auto record = this->leadership.TakePredecessor()) {
-    this->keeper.TakeOver(*record, this->leadership.OwnTerm(), this->now);
+    this->keeper.TakeOver(*record, this->leadership.OwnTerm(),
+                          this->PredecessorLeasesEnd(*record), this->now);
     this->saved_change = 0;
     this->sent_change = 0;
     this->unreachable_since.reset();
@@ -330,7 +349,10 @@
   }
   this->metrics.SetGauge(
       "is_leader", role == RangeLeadership::Role::kLeader ? 1 : 0);
-  if (!this->leadership.MaySendOrders(this->now)) return;
+  if (!this->leadership.MaySendOrders(this->now)) {
+    if (role == RangeLeadership::Role::kLeader) this->StateLapse();
+    return;
+  }
   if (this->tables.desired) {
     std::vector<ServiceName> sharded;
     for (const ServiceSpec& service : this->tables.desired->services) {
@@ -345,13 +367,54 @@
   }
   for (upstream::ControlCall& call :
        this->keeper.Step(this->saved_change,
-                         this->leadership.IsInTrouble(this->now), this->now)) {
+                         this->leadership.IsInTrouble(this->now) &&
+                             this->IsCommonOutage(),
+                         this->now)) {
     this->actions.emplace_back(std::move(call));
   }
   this->LogRangeEvents();
   this->PublishOwners();
 }
 
+MonotonicTime OwnershipDuty::PredecessorLeasesEnd(
+    const upstream::OwnershipRecord& record) const {
+  const MonotonicTime latest = this->keeper.LatestLeaseEnd(this->now);
+  if (record.is_released) {
+    return std::min(latest, this->newest_read + record.leases_left);
+  }
+  // The statement of a leader that has renewed since is void.
+  const bool is_current =
+      this->statement &&
+      this->statement->log_end == this->leadership.PredecessorEnd();
+  return is_current ? std::min(latest, this->statement_end) : latest;
+}
+
+bool OwnershipDuty::IsCommonOutage() const {
+  std::size_t heard = 0;
+  std::size_t in_contact = 0;
+  for (const auto& [daemon, contact] : this->peer_contacts) {
+    if (daemon == this->identity.daemon) continue;
+    if (this->now - contact.heard > kReportAge) continue;
+    ++heard;
+    if (contact.log_contact > this->leadership.LastRenewal()) ++in_contact;
+  }
+  return heard == 0 || in_contact * 2 < heard;
+}
+
+void OwnershipDuty::StateLapse() {
+  if (this->now < this->next_beat) return;
+  const MonotonicTime end = this->keeper.LastLeaseEnd();
+  if (end <= this->now) return;
+  this->next_beat = this->now + kBeatEvery;
+  peer::LeaderBeat beat;
+  beat.sender = this->identity.daemon;
+  beat.version = this->sent_version;
+  beat.lapsed = peer::LeaseStatement{
+      this->leadership.ExpectedEnd(),
+      std::chrono::ceil<milliseconds>(end - this->now)};
+  this->actions.emplace_back(peer::ToGossip(std::move(beat)));
+}
+
 void OwnershipDuty::CheckReach() {
   const bool is_lost = this->keeper.UnreachableShare(this->now) > kLostShare;
   if (!is_lost) {
@@ -477,7 +540,12 @@
     record.is_released =
         this->wants_to_step_down || (this->is_stopping && is_calm);
     this->is_release_sent = record.is_released;
-    if (record.is_released) this->leadership.SuspendMandate();
+    if (record.is_released) {
+      this->leadership.SuspendMandate();
+      record.leases_left = std::max(
+          milliseconds(0), std::chrono::ceil<milliseconds>(
+                               this->keeper.LastLeaseEnd() - this->now));
+    }
     this->sent_change = record.change;
   }
   this->actions.emplace_back(StoreCall{
--- a/lib/peer/gossip_codec.cc
+++ b/lib/peer/gossip_codec.cc
@@ -18,6 +18,7 @@
 
 constexpr double kPermille = 1'000;
 constexpr double kMaxRatio = 1'000;
+constexpr std::uint32_t kUnknownAge = 0xFFFFFFFF;
 
 std::string TextOf(const flatbuffers::String* text) {
   return text == nullptr ? std::string() : text->str();
@@ -39,7 +40,11 @@
     demands.push_back(gossip::CreateKeyDemandDirect(
         builder, demand.service.value.c_str(), &keys));
   }
-  return gossip::CreateLoadReportDirect(builder, &loads, &demands).Union();
+  const auto age =
+      report.log_contact_age
+          ? static_cast<std::uint32_t>(report.log_contact_age->count())
+          : kUnknownAge;
+  return gossip::CreateLoadReportDirect(builder, &loads, &demands, age).Union();
 }
 
 Offset<gossip::ServiceOwners> Encode(FlatBufferBuilder& builder,
@@ -66,7 +71,12 @@
   }
   return gossip::CreateLeaderBeatDirect(
              builder, beat.version.term.value, beat.version.change,
-             beat.has_resigned, beat.owners ? &services : nullptr)
+             beat.has_resigned, beat.lapsed.has_value(),
+             beat.lapsed ? beat.lapsed->log_end.value : 0,
+             beat.lapsed
+                 ? static_cast<std::uint32_t>(beat.lapsed->leases_left.count())
+                 : 0,
+             beat.owners ? &services : nullptr)
       .Union();
 }
 
@@ -74,6 +84,10 @@
   const auto& wire = *datagram.content_as_LoadReport();
   LoadReport report;
   report.sender = DaemonId(TextOf(datagram.daemon()));
+  if (wire.log_contact_age_ms() != kUnknownAge) {
+    report.log_contact_age =
+        std::chrono::milliseconds(wire.log_contact_age_ms());
+  }
   if (wire.upstreams() != nullptr) {
     for (const gossip::UpstreamLoad* load : *wire.upstreams()) {
       report.upstreams.push_back(
@@ -114,6 +128,11 @@
   beat.sender = DaemonId(TextOf(datagram.daemon()));
   beat.version = {Term(wire.term()), wire.change()};
   beat.has_resigned = wire.has_resigned();
+  if (wire.has_lapsed()) {
+    beat.lapsed =
+        LeaseStatement{LogOffset(wire.log_end()),
+                       std::chrono::milliseconds(wire.leases_left_ms())};
+  }
   if (wire.services() != nullptr) {
     beat.owners = OwnerMap{beat.version, {}};
     for (const gossip::ServiceOwners* owners : *wire.services()) {
--- a/lib/upstream/range_keeper.cc
+++ b/lib/upstream/range_keeper.cc
@@ -15,7 +15,7 @@
 constexpr int kClockDriftPercent = 2;
 // The way of an order to an upstream.
 constexpr milliseconds kOrderTravel{150};
-constexpr milliseconds kGrantLimit{500};
+constexpr milliseconds kGrantLimit{400};
 constexpr milliseconds kRetryPause{150};
 // A release is answered when the work on the keys has ended, so its answer
 // takes as long as the longest request.
@@ -24,8 +24,9 @@
 // one is sent, so that the lease can run out.
 constexpr int kMaxUnanswered = 3;
 constexpr int kMaxAttempts = 3;
-// The address of an upstream that has ended is not used again within 2 s.
-constexpr milliseconds kDepartedTime{1'700};
+// How long keys are taken back from an upstream that left the registry: longer
+// than the longest lease.
+constexpr milliseconds kDepartedTime{12'000};
 constexpr milliseconds kUnreachableTime{1'500};
 // Beyond this many ranges a service is not split any further.
 constexpr std::size_t kMaxRanges = 2'000;
@@ -42,8 +43,22 @@
     &RangeKeeper::StepSaving,    &RangeKeeper::StepReleasing,
     &RangeKeeper::StepGranting,  &RangeKeeper::StepExpiring};
 
+MonotonicTime RangeKeeper::LatestLeaseEnd(MonotonicTime now) const {
+  return now + LongestHold(this->leases.longest);
+}
+
+MonotonicTime RangeKeeper::LastLeaseEnd() const {
+  MonotonicTime last;
+  for (const auto& [service, ranges] : this->services) {
+    for (const Range& range : ranges) {
+      last = std::max(last, range.may_hold_until);
+    }
+  }
+  return last;
+}
+
 void RangeKeeper::TakeOver(const OwnershipRecord& record, Term new_term,
-                           MonotonicTime now) {
+                           MonotonicTime leases_end, MonotonicTime now) {
   this->term = new_term;
   this->last_token = FirstTokenOf(new_term);
   this->services.clear();
@@ -59,7 +74,7 @@
       range.holder = row.holder;
       range.token = this->DrawToken();
       range.next_call = now;
-      range.may_hold_until = now + LongestHold(this->leases.longest);
+      range.may_hold_until = leases_end;
       range.has_unanswered_grant = true;
       if (row.successor) {
         range.successor = row.successor;
--- a/lib/upstream/range_leadership.cc
+++ b/lib/upstream/range_leadership.cc
@@ -9,9 +9,9 @@
 using std::chrono::milliseconds;
 
 // Between two looks at the record while no leader is heard.
-constexpr milliseconds kReadEvery{300};
+constexpr milliseconds kReadEvery{250};
 // After a call that failed.
-constexpr milliseconds kRetryPause{120};
+constexpr milliseconds kRetryPause{100};
 
 }  // namespace
 
@@ -49,6 +49,7 @@
         Term(this->observed ? this->observed->term.value + 1 : 1);
     this->term = std::max(this->term, Term(this->heard_term.value + 1));
     this->expected_end = *this->observed_end;
+    this->predecessor_end = this->expected_end;
     return Wish::kClaim;
   }
   return Wish::kRead;
--- a/lib/upstream/upstream_board.cc
+++ b/lib/upstream/upstream_board.cc
@@ -25,6 +25,7 @@
 constexpr int kEjectAfter = 3;
 constexpr milliseconds kFirstEjection{600};
 constexpr int kMaxDoublings = 3;
+constexpr milliseconds kProbeEvery{250};
 // At most this share of a service is ejected at the same time.
 constexpr double kMaxEjected = 0.4;
 // How much longer an upstream of another failure domain may seem to take
@@ -91,6 +92,10 @@
     row.limit_updated = now;
     return;
   }
+  if (outcome == UpstreamOutcome::kReplaced) {
+    row.is_replaced = true;
+    return;
+  }
   const bool failed = outcome != UpstreamOutcome::kAnswered;
   row.failure_share += ((failed ? 1.0 : 0.0) - row.failure_share) *
                        kFailureWeight;
@@ -101,7 +106,10 @@
     return;
   }
   row.failures_in_a_row = 0;
-  if (!failed) row.ejections = 0;
+  if (!failed) {
+    row.ejections = 0;
+    row.ejected_until = now;
+  }
   if (failed || usual.count() <= 0) return;
   const double ratio = std::clamp(Seconds(latency) / Seconds(usual), kMinRatio,
                                   kMaxRatio);
@@ -113,6 +121,7 @@
 
 void UpstreamBoard::Eject(Row& row, MonotonicTime now) {
   row.failures_in_a_row = 0;
+  row.next_probe = now + kProbeEvery;
   if (this->EjectedShare(row.entry.service, now) >= kMaxEjected) return;
   row.ejected_until =
       now + kFirstEjection * (1 << std::min(row.ejections, kMaxDoublings));
@@ -164,7 +173,8 @@
 
 const RegisteredUpstream* UpstreamBoard::Find(const UpstreamId& id) const {
   const auto found = this->rows.find(id);
-  if (found == this->rows.end() || found->second.entry.is_draining) {
+  if (found == this->rows.end() || found->second.entry.is_draining ||
+      found->second.is_replaced) {
     return nullptr;
   }
   return &found->second.entry;
@@ -193,7 +203,7 @@
   double best_score = 0;
   for (const auto& [id, row] : this->rows) {
     if (row.entry.service != service || row.entry.is_draining) continue;
-    if (tried.contains(id) || now < row.ejected_until) continue;
+    if (tried.contains(id) || this->IsEjected(id, now)) continue;
     if (!this->HasRoom(id, now)) continue;
     const double score = this->Score(row, now);
     if (best != nullptr && best_score <= score) continue;
@@ -240,7 +250,16 @@
 
 bool UpstreamBoard::IsEjected(const UpstreamId& id, MonotonicTime now) const {
   const auto found = this->rows.find(id);
-  return found != this->rows.end() && now < found->second.ejected_until;
+  if (found == this->rows.end()) return false;
+  return found->second.is_replaced || now < found->second.ejected_until;
+}
+
+bool UpstreamBoard::TakeProbe(const UpstreamId& id, MonotonicTime now) {
+  const auto found = this->rows.find(id);
+  if (found == this->rows.end() || found->second.is_replaced) return false;
+  if (now < found->second.next_probe) return false;
+  found->second.next_probe = now + kProbeEvery;
+  return true;
 }
 
 }  // namespace bamboorack::upstream
--- a/lib/upstream/upstream_codec.cc
+++ b/lib/upstream/upstream_codec.cc
@@ -349,7 +349,8 @@
                   const RequestId& request) const override {
     return upstream::IsAnswerTo(head, request);
   }
-  Result DecodeDispatchAnswer(AnswerHead head, Body body) const override {
+  Result DecodeDispatchAnswer(const Dispatch& /*dispatch*/, AnswerHead head,
+                              Body body) const override {
     return upstream::DecodeDispatchAnswer(std::move(head), std::move(body));
   }
   Decoded DecodeControlAnswer(const ControlRequest& request,
--- a/lib/upstream/upstream_reactor.cc
+++ b/lib/upstream/upstream_reactor.cc
@@ -494,6 +494,10 @@
   this->Forget(*exchange);
   exchange->Fail(failure, was_written, this->outbox);
   const PoolId id = connection.pool;
+  // A reset discards what has not left this VM. Bytes that a partition holds
+  // up would otherwise arrive after it, when a grant in them has long been
+  // counted as expired.
+  connection.http.ResetOnClose();
   this->Close(connection);
   this->Serve(id);
 }
