--- a/include/bamboorack/upstream/range_keeper.h
+++ b/include/bamboorack/upstream/range_keeper.h
@@ -186,7 +186,7 @@
                  const UpstreamRun& to);
   void OnGrantResult(const ServiceName& service, Range& range,
                      const ControlResult& result, MonotonicTime now);
-  void OnReleaseResult(const ServiceName& service, Range& range,
+  void OnReleaseResult(Range& range,
                        const ControlResult& result, MonotonicTime now);
   void OnGrantFailed(Range& range, ControlError error, MonotonicTime now);
   void SetPhase(const ServiceName& service, Range& range, Phase phase,
--- a/lib/upstream/range_keeper.cc
+++ b/lib/upstream/range_keeper.cc
@@ -398,7 +398,7 @@
       if (range.call != result.id) continue;
       range.call.reset();
       if (range.phase == Phase::kReleasing) {
-        this->OnReleaseResult(service, range, result, now);
+        this->OnReleaseResult(range, result, now);
       } else {
         this->OnGrantResult(service, range, result, now);
       }
@@ -447,7 +447,7 @@
   ++range.unanswered;
 }
 
-void RangeKeeper::OnReleaseResult(const ServiceName& service, Range& range,
+void RangeKeeper::OnReleaseResult(Range& range,
                                   const ControlResult& result,
                                   MonotonicTime now) {
   const bool has_ended =
@@ -465,7 +465,6 @@
   } else {
     range.must_release_successor = false;
   }
-  this->StepReleasing(service, range);
 }
 
 void RangeKeeper::NoteReach(const UpstreamId& id, bool reached,
--- a/lib/upstream/range_planner.cc
+++ b/lib/upstream/range_planner.cc
@@ -17,8 +17,9 @@
 // requests/s vary by 12 % over the half-life.
 constexpr double kDonorFactor = 1.3;
 constexpr double kLeastExcess = 4;
-// An upstream takes keys only to come up to its part less this share.
-constexpr double kReceiverFactor = 0.95;
+// An upstream takes keys until it has this many times its part: well below the
+// donor's threshold, so that keys do not wander.
+constexpr double kReceiverFactor = 1.1;
 constexpr std::size_t kMaxMovesAtOnce = 24;
 
 /// One upstream's load against its part of the whole.
@@ -123,7 +124,8 @@
       const KeyRange piece{keys.first, last};
       const double weight = this->load.Of(piece);
       // One key that is too hot for its holder is too hot for any other.
-      const bool helps = to.load + weight < donor.load;
+      const bool helps =
+          (to.load + weight) / to.target < donor.load / donor.target;
       if (helps && last != keys.last) {
         donor.load -= weight;
         this->Give(piece, to);
--- a/lib/upstream/upstream_board.cc
+++ b/lib/upstream/upstream_board.cc
@@ -26,7 +26,8 @@
 constexpr milliseconds kFirstEjection{600};
 constexpr int kMaxDoublings = 3;
 constexpr milliseconds kProbeEvery{250};
-// At most this share of a service is ejected at the same time.
+// If more of a service than this share is ejected, the cause is not in single
+// upstreams, and all of them are used.
 constexpr double kMaxEjected = 0.4;
 // How much longer an upstream of another failure domain may seem to take
 // before the own domain's is passed over: the way there, and bytes that are
@@ -122,7 +123,6 @@
 void UpstreamBoard::Eject(Row& row, MonotonicTime now) {
   row.failures_in_a_row = 0;
   row.next_probe = now + kProbeEvery;
-  if (this->EjectedShare(row.entry.service, now) >= kMaxEjected) return;
   row.ejected_until =
       now + kFirstEjection * (1 << std::min(row.ejections, kMaxDoublings));
   ++row.ejections;
@@ -137,7 +137,7 @@
     ++all;
     if (now < row.ejected_until) ++ejected;
   }
-  return all == 0 ? 1 : (ejected + 1) / all;
+  return all == 0 ? 0 : ejected / all;
 }
 
 double UpstreamBoard::InHand(const Row& row, MonotonicTime now) const {
@@ -193,17 +193,19 @@
   if (found == this->rows.end()) return false;
   const Row& row = found->second;
   if (row.in_flight == 0) return true;
-  return this->InHand(row, now) < this->LimitOf(row, now);
+  return this->InHand(row, now) + 1 <= this->LimitOf(row, now);
 }
 
 std::optional<UpstreamId> UpstreamBoard::Choose(
     const ServiceName& service, const std::set<UpstreamId>& tried,
     MonotonicTime now) const {
+  const bool uses_all = this->EjectedShare(service, now) > kMaxEjected;
   const Row* best = nullptr;
   double best_score = 0;
   for (const auto& [id, row] : this->rows) {
     if (row.entry.service != service || row.entry.is_draining) continue;
-    if (tried.contains(id) || this->IsEjected(id, now)) continue;
+    if (tried.contains(id) || row.is_replaced) continue;
+    if (!uses_all && now < row.ejected_until) continue;
     if (!this->HasRoom(id, now)) continue;
     const double score = this->Score(row, now);
     if (best != nullptr && best_score <= score) continue;
--- /dev/null
+++ b/unittests/daemon/gateway_router_test.cc
@@ -0,0 +1,345 @@
+#include "bamboorack/daemon/gateway_router.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "bamboorack/core/metrics.h"
+
+namespace bamboorack::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+RegisteredUpstream Entry(const std::string& id, const std::string& service) {
+  RegisteredUpstream entry;
+  entry.run = {UpstreamId(id), UpstreamLife(1)};
+  entry.service = ServiceName(service);
+  entry.endpoint = {"10.0.0.1", 80};
+  entry.failure_domain = FailureDomain("east");
+  entry.slots = 2;
+  return entry;
+}
+
+Route MakeRoute(const std::string& name, Repeatability repeatability,
+                std::vector<TrafficShare> shares) {
+  Route route;
+  route.name = RouteName(name);
+  route.host = "site.example";
+  route.path_prefix = "/" + name + "/";
+  route.repeatability = repeatability;
+  route.timeout = milliseconds(800);
+  route.latency_target = milliseconds(300);
+  route.priority = 1;
+  route.max_attempts = 2;
+  route.shares = std::move(shares);
+  return route;
+}
+
+/// A router whose callers, upstreams and control thread are the test.
+struct Fixture {
+  Fixture() {
+    auto state = std::make_shared<DesiredState>();
+    state->version = ConfigVersion(1);
+    state->routes = {
+        MakeRoute("read", Repeatability::kIdempotent,
+                  {{ServiceName("reader"), 1}}),
+        MakeRoute("pay", Repeatability::kOnce, {{ServiceName("desk"), 1}}),
+        MakeRoute("split", Repeatability::kIdempotent,
+                  {{ServiceName("desk"), 9}, {ServiceName("yard"), 1}})};
+    state->services = {{ServiceName("reader"), 100, true},
+                       {ServiceName("desk"), 100, false},
+                       {ServiceName("yard"), 100, false}};
+    this->tables.desired = state;
+    this->upstreams = {Entry("r0", "reader"), Entry("r1", "reader"),
+                       Entry("d0", "desk"), Entry("d1", "desk"),
+                       Entry("y0", "yard")};
+    this->owners.version = {Term(1), 1};
+    this->owners.services[ServiceName("reader")] = {
+        {{ShardKey(0), ShardKey(9'999)},
+         UpstreamRun{UpstreamId("r0"), UpstreamLife(1)}},
+        {{ShardKey(10'000), kLastKey}, std::nullopt}};
+  }
+
+  void Publish() {
+    this->tables.upstreams =
+        std::make_shared<const std::vector<RegisteredUpstream>>(
+            this->upstreams);
+    this->tables.owners = std::make_shared<const OwnerMap>(this->owners);
+    this->tables.upstreams_read = this->now;
+    this->Take(this->router.OnTables(this->tables, this->now));
+  }
+
+  void Arrive(std::uint64_t slot, const std::string& target,
+              const std::string& key = "",
+              milliseconds left = milliseconds(1'200)) {
+    Request request;
+    request.id = RequestId("q" + std::to_string(slot));
+    request.host = "site.example";
+    request.target = target;
+    request.key = key;
+    request.method = "GET";
+    request.deadline = this->now + left;
+    request.body = std::make_shared<const std::string>();
+    this->Take(this->router.OnCaller(
+        caller::RequestArrived{caller::CallerSlot{slot}, std::move(request)},
+        this->now));
+  }
+
+  void End(const upstream::Dispatch& dispatch, Result result) {
+    this->Take(this->router.OnUpstream(
+        upstream::DispatchResult{dispatch.id, std::move(result)}, this->now));
+  }
+
+  void Wait(milliseconds span) {
+    const MonotonicTime end = this->now + span;
+    while (this->now < end) {
+      this->now += milliseconds(10);
+      this->Take(this->router.Tick(this->now));
+    }
+  }
+
+  void Take(GatewayActions actions) {
+    for (GatewayAction& action : actions) {
+      if (auto* answer = std::get_if<caller::ToCaller>(&action)) {
+        this->answers.push_back(std::move(*answer));
+      }
+      if (auto* dispatch = std::get_if<upstream::Dispatch>(&action)) {
+        this->dispatches.push_back(std::move(*dispatch));
+      }
+      if (auto* cancel = std::get_if<upstream::CancelDispatch>(&action)) {
+        this->cancels.push_back(*cancel);
+      }
+      if (auto* report = std::get_if<peer::LoadReport>(&action)) {
+        this->reports.push_back(std::move(*report));
+      }
+      if (auto* event = std::get_if<RequestEvent>(&action)) {
+        this->events.push_back(std::move(*event));
+      }
+    }
+  }
+
+  static Result Ok() {
+    return Answer{200, {}, std::make_shared<const std::string>("x")};
+  }
+
+  MonotonicTime now{seconds(100)};
+  Metrics metrics;
+  GatewayRouter router{{DaemonId("d0"), FailureDomain("east")}, metrics};
+  GatewayTables tables;
+  std::vector<RegisteredUpstream> upstreams;
+  OwnerMap owners;
+  std::vector<caller::ToCaller> answers;
+  std::vector<upstream::Dispatch> dispatches;
+  std::vector<upstream::CancelDispatch> cancels;
+  std::vector<peer::LoadReport> reports;
+  std::vector<RequestEvent> events;
+};
+
+SCENARIO("a request goes where the desired state does not send it") {
+  Fixture fixture;
+
+  GIVEN("no desired state") {
+    fixture.Arrive(1, "/pay/1");
+    THEN("it is refused as not run") {
+      REQUIRE(fixture.answers.size() == 1);
+      const Refusal& refusal = fixture.answers[0].result.error();
+      CHECK(refusal.reason == Reason::kNoState);
+      CHECK(refusal.ending == Ending::kNotRun);
+      CHECK(refusal.retry_after.has_value());
+    }
+  }
+
+  GIVEN("a desired state") {
+    fixture.Publish();
+
+    WHEN("no route fits") {
+      fixture.Arrive(1, "/other/1");
+      THEN("the caller is told so") {
+        CHECK(fixture.answers.at(0).result.error().reason ==
+              Reason::kUnknownService);
+      }
+    }
+
+    WHEN("the key has an owner") {
+      fixture.Arrive(1, "/read/1", "17");
+      THEN("it goes there with the time that is left") {
+        REQUIRE(fixture.dispatches.size() == 1);
+        CHECK(fixture.dispatches[0].upstream.id == UpstreamId("r0"));
+        CHECK(fixture.dispatches[0].finish_before ==
+              fixture.now + milliseconds(800));
+      }
+    }
+
+    WHEN("the key is between two owners") {
+      fixture.Arrive(1, "/read/1", "20000");
+      CHECK(fixture.dispatches.empty());
+      THEN("it waits and goes to the new owner") {
+        fixture.Wait(milliseconds(100));
+        fixture.owners.version.change = 2;
+        fixture.owners.services[ServiceName("reader")][1].owner =
+            UpstreamRun{UpstreamId("r1"), UpstreamLife(1)};
+        fixture.Publish();
+        REQUIRE(fixture.dispatches.size() == 1);
+        CHECK(fixture.dispatches[0].upstream.id == UpstreamId("r1"));
+      }
+      THEN("it is refused when nobody takes the key") {
+        fixture.Wait(milliseconds(600));
+        REQUIRE(fixture.answers.size() == 1);
+        CHECK(fixture.answers[0].result.error().reason ==
+              Reason::kOwnerMoving);
+      }
+    }
+
+    WHEN("a route is split nine to one") {
+      for (std::uint64_t i = 0; i < 100; ++i) {
+        fixture.Arrive(i, "/split/1");
+        const upstream::Dispatch dispatch = fixture.dispatches.back();
+        fixture.End(dispatch, Fixture::Ok());
+      }
+      THEN("the parts follow the weights") {
+        const auto yard = std::count_if(
+            fixture.dispatches.begin(), fixture.dispatches.end(),
+            [](const upstream::Dispatch& dispatch) {
+              return dispatch.upstream.id == UpstreamId("y0");
+            });
+        CHECK(yard == 10);
+      }
+    }
+  }
+}
+
+SCENARIO("a request that must not be repeated runs twice") {
+  Fixture fixture;
+  fixture.Publish();
+  fixture.Arrive(1, "/pay/1");
+  REQUIRE(fixture.dispatches.size() == 1);
+  const upstream::Dispatch first = fixture.dispatches[0];
+
+  WHEN("its connection is lost after it was sent") {
+    fixture.End(first, Unknown(Reason::kUpstreamLost));
+    THEN("it is not sent again, and the answer promises nothing") {
+      CHECK(fixture.dispatches.size() == 1);
+      CHECK(fixture.answers.at(0).result.error().ending == Ending::kUnknown);
+    }
+  }
+
+  WHEN("the upstream says that it did not run it") {
+    fixture.End(first, NotRun(Reason::kUpstreamShed));
+    THEN("it goes to another upstream") {
+      REQUIRE(fixture.dispatches.size() == 2);
+      CHECK(fixture.dispatches[1].upstream.id != first.upstream.id);
+      AND_WHEN("that one refuses too") {
+        fixture.End(fixture.dispatches[1], NotRun(Reason::kUpstreamShed));
+        THEN("the attempts are used up, and the caller may come back") {
+          CHECK(fixture.dispatches.size() == 2);
+          CHECK(fixture.answers.at(0).result.error().ending ==
+                Ending::kNotRun);
+          CHECK(fixture.answers[0].result.error().retry_after.has_value());
+        }
+      }
+    }
+  }
+
+  WHEN("its caller leaves") {
+    fixture.Take(fixture.router.OnCaller(
+        caller::CallerGone{caller::CallerSlot{1}}, fixture.now));
+    THEN("the work runs to its end") { CHECK(fixture.cancels.empty()); }
+  }
+}
+
+SCENARIO("work goes on for a caller that has left") {
+  Fixture fixture;
+  fixture.Publish();
+  fixture.Arrive(1, "/read/1", "17");
+  fixture.Take(fixture.router.OnCaller(
+      caller::CallerGone{caller::CallerSlot{1}}, fixture.now));
+  REQUIRE(fixture.cancels.size() == 1);
+  CHECK(fixture.cancels[0].id == fixture.dispatches[0].id);
+  fixture.End(fixture.dispatches[0], NotRun(Reason::kCancelled));
+  CHECK(fixture.answers.empty());
+  CHECK(fixture.router.IsIdle());
+}
+
+SCENARIO("retries multiply an overload") {
+  Fixture fixture;
+  fixture.Publish();
+  std::size_t arrivals = 0;
+  for (std::uint64_t i = 0; i < 400; ++i) {
+    fixture.now += milliseconds(5);
+    fixture.Arrive(i, "/pay/1");
+    while (arrivals < fixture.dispatches.size()) {
+      const upstream::Dispatch dispatch = fixture.dispatches[arrivals++];
+      fixture.End(dispatch, NotRun(Reason::kUpstreamReplaced));
+    }
+  }
+  // A fifth of the requests at most, with what is left of an earlier calm.
+  CHECK(fixture.dispatches.size() <= 400 + 80);
+}
+
+SCENARIO("a lost owner holds up its callers") {
+  Fixture fixture;
+  fixture.Publish();
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    fixture.Arrive(i, "/read/1", "17");
+    const upstream::Dispatch dispatch = fixture.dispatches.back();
+    fixture.End(dispatch, Unknown(Reason::kUpstreamLost));
+    fixture.Wait(milliseconds(50));
+    while (fixture.router.InFlight() > 0) {
+      fixture.End(fixture.dispatches.back(), Unknown(Reason::kUpstreamLost));
+    }
+  }
+  const std::size_t sent = fixture.dispatches.size();
+  for (std::uint64_t i = 10; i < 20; ++i) fixture.Arrive(i, "/read/1", "17");
+  THEN("further requests are refused at once, but for one that looks") {
+    CHECK(fixture.dispatches.size() <= sent + 1);
+    CHECK(fixture.answers.back().result.error().reason ==
+          Reason::kOwnerUnreachable);
+  }
+}
+
+SCENARIO("a line grows longer than the time that its requests have") {
+  Fixture fixture;
+  fixture.Publish();
+  // One upstream with two slots and a reserve; each answer takes 100 ms.
+  std::uint64_t slot = 0;
+  std::size_t answered = 0;
+  for (int tick = 0; tick < 300; ++tick) {
+    fixture.Arrive(++slot, "/read/1", "17");
+    fixture.Wait(milliseconds(10));
+    if (tick % 4 == 3 && answered < fixture.dispatches.size()) {
+      fixture.End(fixture.dispatches[answered++], Fixture::Ok());
+    }
+  }
+  std::size_t refused_on_arrival = 0;
+  for (const RequestEvent& event : fixture.events) {
+    if (event.reason == Reason::kDeadlineWouldPass &&
+        event.age < milliseconds(20)) {
+      ++refused_on_arrival;
+      CHECK(event.expected_wait > milliseconds(0));
+    }
+  }
+  CHECK(refused_on_arrival > 100);
+}
+
+SCENARIO("other daemons do not see what this one has in hand") {
+  Fixture fixture;
+  fixture.Publish();
+  fixture.Arrive(1, "/read/1", "17");
+  fixture.Arrive(2, "/pay/1");
+  fixture.Wait(milliseconds(150));
+  REQUIRE(fixture.reports.size() >= 1);
+  const peer::LoadReport& report = fixture.reports[0];
+  CHECK(report.upstreams.size() == 2);
+  REQUIRE(report.demands.size() == 1);
+  CHECK(report.demands[0].keys == std::vector<ShardKey>{ShardKey(17)});
+  CHECK(report.log_contact_age.has_value());
+}
+
+}  // namespace
+}  // namespace bamboorack::daemon
--- /dev/null
+++ b/unittests/upstream/range_keeper_test.cc
@@ -0,0 +1,204 @@
+#include "bamboorack/upstream/range_keeper.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "upstream/range_world.h"
+
+namespace bamboorack::upstream::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Names = std::vector<std::string>;
+
+constexpr std::size_t kGrantIndex = 5;
+constexpr std::size_t kReleaseIndex = 6;
+
+SCENARIO("two upstreams hold the same key") {
+  GIVEN("a and b, and all keys at a") {
+    RangeWorld world({"a", "b"});
+    world.Move(0, 65'535, "a");
+    world.Run(milliseconds(200));
+    REQUIRE(world.HoldersOf(100) == Names{"a"});
+    REQUIRE(world.OwnerOf(100) == "a");
+
+    WHEN("nothing happens for a minute") {
+      world.Run(seconds(60));
+      THEN("the lease is renewed all the time") {
+        CHECK(world.HoldersOf(100) == Names{"a"});
+        CHECK(world.CountSent(kGrantIndex) < 120);
+      }
+    }
+
+    WHEN("a part of the keys moves to b") {
+      world.Move(1'000, 1'999, "b");
+      THEN("no order is sent before the record names b") {
+        const std::size_t before = world.CountSent(kReleaseIndex);
+        world.Run(milliseconds(500), false);
+        CHECK(world.CountSent(kReleaseIndex) == before);
+        CHECK(world.HoldersOf(1'500) == Names{"a"});
+        AND_THEN("and with it b gets them, and a keeps the rest") {
+          world.Run(milliseconds(200));
+          CHECK(world.HoldersOf(1'500) == Names{"b"});
+          CHECK(world.HoldersOf(999) == Names{"a"});
+          CHECK(world.HoldersOf(2'000) == Names{"a"});
+          CHECK(world.OwnerOf(1'500) == "b");
+        }
+      }
+    }
+
+    WHEN("a does not answer the release") {
+      world.silent[UpstreamId("a")] = true;
+      world.Move(0, 65'535, "b");
+      world.Run(milliseconds(500));
+      world.FailUnanswered();
+      THEN("b gets nothing while a may hold the keys") {
+        world.Run(milliseconds(1'500));
+        CHECK(world.HoldersOf(100) == Names{"a"});
+        CHECK_FALSE(world.OwnerOf(100) == "b");
+        AND_THEN("and everything when the lease has run out") {
+          world.Run(seconds(3));
+          world.FailUnanswered();
+          world.Run(milliseconds(200));
+          CHECK(world.HoldersOf(100) == Names{"b"});
+        }
+      }
+    }
+
+    WHEN("a grant to a is carried out late, after its keys have moved twice") {
+      world.Run(milliseconds(100));
+      world.silent[UpstreamId("a")] = true;
+      world.Run(seconds(1));
+      const auto late = world.FailUnanswered();
+      REQUIRE_FALSE(late.empty());
+      world.silent.clear();
+      world.Move(0, 65'535, "b");
+      world.Run(seconds(1));
+      REQUIRE(world.HoldersOf(100) == Names{"b"});
+      world.Move(0, 65'535, "a");
+      world.Run(seconds(1));
+      world.Move(0, 65'535, "b");
+      world.Run(seconds(1));
+      THEN("a refuses it, since it has seen a higher token") {
+        for (const ControlCall& call : late) {
+          world.CarryOut(call, world.now - seconds(4));
+          world.CarryOut(call, world.now);
+        }
+        CHECK(world.HoldersOf(100) == Names{"b"});
+      }
+    }
+
+    WHEN("a starts again under its id while it is unreachable") {
+      world.unreachable[UpstreamId("a")] = true;
+      world.upstreams[UpstreamId("a")].Restart();
+      world.entries[0] = MakeEntry("a", 2);
+      world.keeper->SetUpstreams(world.entries, world.now);
+      world.Run(milliseconds(100));
+      THEN("its keys are free at once, since the old run has ended") {
+        CHECK(world.keeper->Ranges(kService).front().is_free);
+      }
+    }
+
+    WHEN("a has left the registry and cannot be reached") {
+      world.entries.erase(world.entries.begin());
+      world.keeper->SetUpstreams(world.entries, world.now);
+      world.unreachable[UpstreamId("a")] = true;
+      world.Move(0, 65'535, "b");
+      world.Run(milliseconds(1'500));
+      THEN("its keys wait for the end of the lease") {
+        CHECK(world.HoldersOf(100) == Names{"a"});
+        world.Run(seconds(3));
+        CHECK(world.HoldersOf(100) == Names{"b"});
+      }
+    }
+
+    WHEN("a's address has another upstream") {
+      world.Move(0, 65'535, "b");
+      world.saved = world.keeper->Change();
+      world.keeper->Step(world.saved, false, world.now);
+      world.now += milliseconds(50);
+      const auto calls = world.keeper->Step(world.saved, false, world.now);
+      REQUIRE(calls.size() == 1);
+      world.upstreams[UpstreamId("a")].Restart();
+      world.Answer(calls.front(),
+                   tl::make_unexpected(ControlError::kOtherInstance));
+      world.Run(milliseconds(200));
+      THEN("a has ended, and b gets the keys") {
+        CHECK(world.HoldersOf(100) == Names{"b"});
+      }
+    }
+
+    WHEN("the leader changes in the middle of a move") {
+      world.Move(0, 65'535, "b");
+      const OwnershipRecord record = world.Record();
+      SECTION("before any order was sent") {
+        world.Elect(record);
+        world.Run(milliseconds(300));
+        CHECK(world.HoldersOf(100) == Names{"b"});
+      }
+      SECTION("after b was granted the keys") {
+        world.Run(milliseconds(300));
+        REQUIRE(world.HoldersOf(100) == Names{"b"});
+        world.Elect(record);
+        world.Run(milliseconds(300));
+        CHECK(world.HoldersOf(100).size() == 1);
+      }
+      SECTION("and neither can be reached") {
+        world.Run(milliseconds(300));
+        world.unreachable[UpstreamId("a")] = true;
+        world.unreachable[UpstreamId("b")] = true;
+        world.Elect(record);
+        world.Run(seconds(8));
+        CHECK_FALSE(world.OwnerOf(100).has_value());
+        THEN("the keys wait for the longest lease") {
+          world.Run(seconds(3));
+          CHECK(world.keeper->Ranges(kService).front().is_free);
+        }
+      }
+    }
+
+    WHEN("the leader is about to lose the log") {
+      world.in_trouble = true;
+      world.Run(milliseconds(100));
+      world.silent[UpstreamId("a")] = true;
+      world.now += milliseconds(9'500);
+      THEN("a holds its keys for the longest lease without a renewal") {
+        CHECK(world.HoldersOf(100) == Names{"a"});
+        world.now += seconds(1);
+        CHECK(world.HoldersOf(100).empty());
+      }
+    }
+  }
+}
+
+TEST_CASE("a grant that was never sent keeps keys from a lost upstream") {
+  RangeWorld world({"a", "b"});
+  world.Move(0, 65'535, "a");
+  world.Run(milliseconds(200));
+  world.unreachable[UpstreamId("a")] = true;
+  // Attempts go on and none lengthens the lease.
+  world.Run(seconds(5));
+  CHECK(world.keeper->Ranges(kService).front().is_free);
+}
+
+TEST_CASE("ranges pile up after many moves") {
+  RangeWorld world({"a", "b"});
+  world.Move(0, 65'535, "a");
+  world.Run(milliseconds(200));
+  for (int i = 0; i < 20; ++i) {
+    world.Move(static_cast<std::uint16_t>(i * 100),
+               static_cast<std::uint16_t>(i * 100 + 99), i % 2 == 0 ? "b" : "a");
+    world.Run(milliseconds(300));
+  }
+  world.Move(0, 65'535, "b");
+  world.Run(milliseconds(500));
+  CHECK(world.keeper->Ranges(kService).size() == 1);
+  CHECK(world.HoldersOf(65'535) == Names{"b"});
+  CHECK(world.HoldersOf(0) == Names{"b"});
+}
+
+}  // namespace
+}  // namespace bamboorack::upstream::testing
--- /dev/null
+++ b/unittests/upstream/range_leadership_test.cc
@@ -0,0 +1,152 @@
+#include "bamboorack/upstream/range_leadership.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <optional>
+
+namespace bamboorack::upstream {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Role = RangeLeadership::Role;
+using Wish = RangeLeadership::Wish;
+
+OwnershipRecord RecordOf(const std::string& leader, std::uint64_t term,
+                         const std::string& instance = "x") {
+  OwnershipRecord record;
+  record.term = Term(term);
+  record.leader = DaemonId(leader);
+  record.instance = DaemonInstance(instance);
+  return record;
+}
+
+SCENARIO("two daemons lead ownership at the same time") {
+  MonotonicTime now{seconds(100)};
+  RangeLeadership own(DaemonId("d0"), DaemonInstance("i0"), now);
+
+  GIVEN("an empty log") {
+    REQUIRE(own.Next(now, false) == Wish::kRead);
+    own.OnRead(std::nullopt, LogOffset(0), now);
+    REQUIRE(own.Next(now, false) == Wish::kClaim);
+    CHECK(own.OwnTerm() == Term(1));
+
+    WHEN("the claim takes effect") {
+      const MonotonicTime sent = now;
+      now += milliseconds(100);
+      own.OnAppended(LogOffset(1), sent, now);
+      THEN("the mandate counts from when the claim was sent") {
+        CHECK(own.MaySendOrders(sent + RangeLeadership::kMandate -
+                                milliseconds(1)));
+        CHECK_FALSE(own.MaySendOrders(sent + RangeLeadership::kMandate));
+      }
+      AND_WHEN("a renewal is not answered") {
+        now = sent + RangeLeadership::kRenewEvery;
+        REQUIRE(own.Next(now, false) == Wish::kRenew);
+        own.OnAppendFailed(now, now + milliseconds(450));
+        THEN("the log is read before the next one") {
+          CHECK(own.Next(now + milliseconds(600), false) == Wish::kRead);
+        }
+        AND_WHEN("another daemon has claimed") {
+          CHECK(own.Next(now + milliseconds(600), false) == Wish::kRead);
+          own.OnRead(RecordOf("d1", 2), LogOffset(2), now + milliseconds(600));
+          THEN("it is the leader") {
+            CHECK(own.GetRole() == Role::kFollower);
+            CHECK_FALSE(own.MaySendOrders(now + milliseconds(600)));
+          }
+        }
+      }
+      AND_WHEN("the process is suspended") {
+        own.OnSuspended(now);
+        THEN("it sends no order before the next renewal") {
+          CHECK_FALSE(own.MaySendOrders(now));
+          CHECK(own.Next(now + milliseconds(1), false) == Wish::kRead);
+        }
+      }
+      AND_WHEN("it releases the duty") {
+        own.SuspendMandate();
+        CHECK_FALSE(own.MaySendOrders(now));
+        own.StepDown(now + seconds(5));
+        THEN("it does not claim it again at once") {
+          CHECK(own.GetRole() == Role::kFollower);
+          now += seconds(1);
+          REQUIRE(own.Next(now, false) == Wish::kRead);
+          OwnershipRecord released = RecordOf("d0", 1, "i0");
+          released.is_released = true;
+          own.OnRead(released, LogOffset(2), now);
+          CHECK(own.Next(now + milliseconds(300), false) == Wish::kRead);
+        }
+      }
+    }
+
+    WHEN("the claim is not answered and took effect") {
+      own.OnAppendFailed(now, now + milliseconds(450));
+      now += milliseconds(600);
+      REQUIRE(own.Next(now, false) == Wish::kRead);
+      own.OnRead(RecordOf("d0", 1, "i0"), LogOffset(1), now);
+      THEN("the daemon leads, with the mandate of the claim") {
+        CHECK(own.GetRole() == Role::kLeader);
+        CHECK(own.TakePredecessor().has_value());
+        CHECK(own.Next(now, false) == Wish::kRenew);
+      }
+    }
+  }
+
+  GIVEN("a leader that is not heard any more") {
+    REQUIRE(own.Next(now, false) == Wish::kRead);
+    own.OnRead(RecordOf("d1", 3), LogOffset(9), now);
+    THEN("it is not replaced before its mandate has ended for certain") {
+      MonotonicTime claimed{};
+      while (claimed == MonotonicTime{}) {
+        now += milliseconds(50);
+        const Wish wish = own.Next(now, false);
+        if (wish == Wish::kRead) {
+          own.OnRead(RecordOf("d1", 3), LogOffset(9), now);
+        }
+        if (wish == Wish::kClaim) claimed = now;
+      }
+      CHECK(claimed - MonotonicTime(seconds(100)) >=
+            RangeLeadership::kTakeoverWait);
+      CHECK(RangeLeadership::kTakeoverWait > RangeLeadership::kMandate);
+      CHECK(own.OwnTerm() == Term(4));
+      CHECK(own.ExpectedEnd() == LogOffset(9));
+    }
+    THEN("each new record starts the wait anew") {
+      for (int i = 0; i < 40; ++i) {
+        now += milliseconds(250);
+        const Wish wish = own.Next(now, false);
+        REQUIRE(wish != Wish::kClaim);
+        if (wish == Wish::kRead) {
+          own.OnRead(RecordOf("d1", 3),
+                     LogOffset(10 + static_cast<std::uint64_t>(i)), now);
+        }
+      }
+    }
+  }
+
+  GIVEN("the record of a process that ran on this VM before") {
+    REQUIRE(own.Next(now, false) == Wish::kRead);
+    own.OnRead(RecordOf("d0", 3, "old"), LogOffset(9), now);
+    THEN("it has ended and is replaced at once") {
+      CHECK(own.Next(now, false) == Wish::kClaim);
+    }
+  }
+
+  GIVEN("a leader that is heard") {
+    own.OnLeaderHeard(Term(2), now);
+    THEN("the log is left alone") {
+      CHECK(own.Next(now + milliseconds(200), false) == Wish::kNothing);
+    }
+    THEN("one that resigns is replaced after a look at the log") {
+      own.OnLeaderResigned(Term(2), now);
+      REQUIRE(own.Next(now, false) == Wish::kRead);
+      OwnershipRecord released = RecordOf("d1", 2);
+      released.is_released = true;
+      own.OnRead(released, LogOffset(7), now);
+      CHECK(own.Next(now, false) == Wish::kClaim);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace bamboorack::upstream
--- /dev/null
+++ b/unittests/upstream/range_planner_test.cc
@@ -0,0 +1,166 @@
+#include "bamboorack/upstream/range_planner.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bamboorack::upstream {
+namespace {
+
+UpstreamRun RunOf(int i) {
+  return {UpstreamId("u" + std::to_string(i)), UpstreamLife(1)};
+}
+
+std::vector<RangeCandidate> Candidates(int count, double capacity = 6) {
+  std::vector<RangeCandidate> candidates;
+  for (int i = 0; i < count; ++i) candidates.push_back({RunOf(i), capacity});
+  return candidates;
+}
+
+/// Applies moves to a division of the keys.
+class Division {
+ public:
+  explicit Division(std::optional<UpstreamRun> holder)
+      : owners(65'536, holder) {}
+
+  void Apply(const std::vector<RangeMove>& moves) {
+    for (const RangeMove& move : moves) {
+      for (std::uint32_t key = move.range.first.value;
+           key <= move.range.last.value; ++key) {
+        this->owners[key] = move.to;
+      }
+    }
+  }
+
+  std::vector<RangeView> Views() const {
+    std::vector<RangeView> views;
+    for (std::uint32_t key = 0; key < this->owners.size(); ++key) {
+      const ShardKey shard_key(static_cast<std::uint16_t>(key));
+      if (!views.empty() && views.back().holder == this->owners[key]) {
+        views.back().range.last = shard_key;
+        continue;
+      }
+      const bool is_free = !this->owners[key].has_value();
+      views.push_back(
+          {{shard_key, shard_key}, this->owners[key], !is_free, is_free});
+    }
+    return views;
+  }
+
+  std::map<std::string, double> Loads(const KeyLoad& load) const {
+    std::map<std::string, double> loads;
+    for (const RangeView& view : this->Views()) {
+      loads[view.holder->id.value] += load.Of(view.range);
+    }
+    return loads;
+  }
+
+ private:
+  std::vector<std::optional<UpstreamRun>> owners;
+};
+
+double Largest(const std::map<std::string, double>& loads) {
+  double largest = 0;
+  for (const auto& [id, load] : loads) largest = std::max(largest, load);
+  return largest;
+}
+
+TEST_CASE("neighbouring hot keys overload one upstream") {
+  KeyLoad load;
+  Division division(std::nullopt);
+  const auto candidates = Candidates(18);
+
+  SECTION("keys without a holder are divided evenly") {
+    division.Apply(
+        RangePlanner::Plan(division.Views(), candidates, load, false));
+    const auto loads = division.Loads(load);
+    CHECK(loads.size() == 18);
+    CHECK(Largest(loads) < 1.3 * load.Total() / 18);
+
+    SECTION("and an even division stays as it is") {
+      CHECK(RangePlanner::Plan(division.Views(), candidates, load, false)
+                .empty());
+    }
+
+    SECTION("200 neighbours with 39 % of the requests are spread") {
+      for (std::uint32_t key = 0; key < 65'536; key += 40) {
+        load.Add(ShardKey(static_cast<std::uint16_t>(key)), 0.5);
+      }
+      for (std::uint16_t key = 30'000; key < 30'200; ++key) {
+        load.Add(ShardKey(key), 2.6);
+      }
+      load.Sum();
+      const double mean = load.Total() / 18;
+      REQUIRE(Largest(division.Loads(load)) > 5 * mean);
+      division.Apply(
+          RangePlanner::Plan(division.Views(), candidates, load, false));
+      CHECK(Largest(division.Loads(load)) < 1.6 * mean);
+      // The second round finds at most little to mend.
+      const auto more =
+          RangePlanner::Plan(division.Views(), candidates, load, false);
+      CHECK(more.size() <= 4);
+    }
+
+    SECTION("while moves are under way only orphans move") {
+      for (std::uint16_t key = 0; key < 100; ++key) load.Add(ShardKey(key), 10);
+      load.Sum();
+      CHECK(RangePlanner::Plan(division.Views(), candidates, load, true)
+                .empty());
+    }
+
+    SECTION("an upstream that leaves gives its keys to the others") {
+      auto rest = candidates;
+      rest.erase(rest.begin());
+      division.Apply(RangePlanner::Plan(division.Views(), rest, load, true));
+      CHECK(division.Loads(load).size() == 17);
+    }
+
+    SECTION("a new upstream gets its part") {
+      for (std::uint32_t key = 0; key < 65'536; key += 16) {
+        load.Add(ShardKey(static_cast<std::uint16_t>(key)), 0.2);
+      }
+      load.Sum();
+      auto more = candidates;
+      more.push_back({RunOf(18), 6});
+      for (int i = 0; i < 4; ++i) {
+        division.Apply(RangePlanner::Plan(division.Views(), more, load, false));
+      }
+      // With all others below the donor's threshold nobody has to give.
+      CHECK(Largest(division.Loads(load)) < 1.35 * load.Total() / 19);
+    }
+
+    SECTION("a slow upstream gets less") {
+      for (std::uint32_t key = 0; key < 65'536; key += 16) {
+        load.Add(ShardKey(static_cast<std::uint16_t>(key)), 0.2);
+      }
+      load.Sum();
+      auto uneven = candidates;
+      uneven[3].capacity = 2;
+      for (int i = 0; i < 4; ++i) {
+        division.Apply(
+            RangePlanner::Plan(division.Views(), uneven, load, false));
+      }
+      CHECK(division.Loads(load).at("u3") < 0.55 * load.Total() / 18);
+    }
+  }
+
+  SECTION("without an upstream nothing is planned") {
+    CHECK(RangePlanner::Plan(division.Views(), {}, load, false).empty());
+  }
+}
+
+TEST_CASE("old requests weigh as much as new ones") {
+  KeyLoad load;
+  MonotonicTime now{std::chrono::seconds(10)};
+  load.Decay(now);
+  load.Add(ShardKey(7), 8);
+  now += std::chrono::milliseconds(1'500);
+  load.Decay(now);
+  load.Sum();
+  CHECK(load.Of({ShardKey(7), ShardKey(7)}) == Approx(4).epsilon(0.01));
+}
+
+}  // namespace
+}  // namespace bamboorack::upstream
--- /dev/null
+++ b/unittests/upstream/range_world.h
@@ -0,0 +1,227 @@
+#ifndef BAMBOORACK_UNITTESTS_UPSTREAM_RANGE_WORLD_H_
+#define BAMBOORACK_UNITTESTS_UPSTREAM_RANGE_WORLD_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "bamboorack/core/upstream_registry.h"
+#include "bamboorack/upstream/messages.h"
+#include "bamboorack/upstream/range_keeper.h"
+
+namespace bamboorack::upstream::testing {
+
+/// An upstream that checks tokens, as the rules of the platform tell: it
+/// refuses a grant below the highest token that it saw for one of the keys,
+/// and counts a lease from the arrival of the call, even if it carries the
+/// call out later.
+class TokenUpstream {
+ public:
+  struct Hold {
+    KeyRange keys;
+    FencingToken token;
+    MonotonicTime until;
+  };
+
+  /// Carries out a grant that arrived at `arrived`. Returns whether it was
+  /// accepted.
+  bool Grant(const RangeGrantCall& call, MonotonicTime arrived) {
+    for (const auto& [keys, token] : this->seen) {
+      if (Overlap(keys, call.range) && call.token < token) return false;
+    }
+    this->seen.emplace_back(call.range, call.token);
+    this->Cut(call.range);
+    this->holds.push_back({call.range, call.token, arrived + call.lease});
+    return true;
+  }
+
+  void Release(const RangeReleaseCall& call) { this->Cut(call.range); }
+
+  bool Holds(ShardKey key, MonotonicTime now) const {
+    for (const Hold& hold : this->holds) {
+      if (hold.keys.Contains(key) && now < hold.until) return true;
+    }
+    return false;
+  }
+
+  /// The process ended: it holds and knows nothing any more.
+  void Restart() {
+    this->holds.clear();
+    this->seen.clear();
+  }
+
+ private:
+  static bool Overlap(const KeyRange& a, const KeyRange& b) {
+    return a.first <= b.last && b.first <= a.last;
+  }
+
+  /// Removes `keys` from all holds.
+  void Cut(const KeyRange& keys) {
+    std::vector<Hold> kept;
+    for (const Hold& hold : this->holds) {
+      if (!Overlap(hold.keys, keys)) {
+        kept.push_back(hold);
+        continue;
+      }
+      if (hold.keys.first < keys.first) {
+        Hold lower = hold;
+        lower.keys.last =
+            ShardKey(static_cast<std::uint16_t>(keys.first.value - 1));
+        kept.push_back(lower);
+      }
+      if (keys.last < hold.keys.last) {
+        Hold upper = hold;
+        upper.keys.first =
+            ShardKey(static_cast<std::uint16_t>(keys.last.value + 1));
+        kept.push_back(upper);
+      }
+    }
+    this->holds = std::move(kept);
+  }
+
+  std::vector<Hold> holds;
+  std::vector<std::pair<KeyRange, FencingToken>> seen;
+};
+
+inline const ServiceName kService{"reader"};
+
+inline RegisteredUpstream MakeEntry(const std::string& id,
+                                    std::uint64_t life = 1) {
+  RegisteredUpstream entry;
+  entry.run = {UpstreamId(id), UpstreamLife(life)};
+  entry.service = kService;
+  entry.endpoint = {"10.0.0.1", 80};
+  entry.failure_domain = FailureDomain("east");
+  entry.slots = 4;
+  return entry;
+}
+
+/// One leader's keeper and a set of upstreams, joined by a network that the
+/// test controls.
+class RangeWorld {
+ public:
+  explicit RangeWorld(std::vector<std::string> ids) {
+    for (const std::string& id : ids) {
+      this->entries.push_back(MakeEntry(id));
+      this->upstreams[UpstreamId(id)];
+    }
+    this->Elect({});
+  }
+
+  /// A new leader takes over what `record` says.
+  void Elect(const OwnershipRecord& record) {
+    this->term = Term(this->term.value + 1);
+    this->keeper.emplace(RangeLeases{});
+    this->keeper->TakeOver(record, this->term,
+                           this->keeper->LatestLeaseEnd(this->now), this->now);
+    this->keeper->SetUpstreams(this->entries, this->now);
+    this->keeper->SetServices({kService});
+  }
+
+  OwnershipRecord Record() const {
+    OwnershipRecord record;
+    record.term = this->term;
+    record.services = this->keeper->ToRecord();
+    return record;
+  }
+
+  /// Lets time pass in steps of 50 ms. Orders to reachable upstreams are
+  /// carried out and answered at once.
+  void Run(std::chrono::milliseconds span, bool saves_record = true) {
+    const MonotonicTime end = this->now + span;
+    while (this->now < end) {
+      this->now += std::chrono::milliseconds(50);
+      if (saves_record) this->saved = this->keeper->Change();
+      this->Deliver(this->keeper->Step(this->saved, this->in_trouble, this->now));
+    }
+  }
+
+  void Deliver(const std::vector<ControlCall>& calls) {
+    for (const ControlCall& call : calls) {
+      this->sent.push_back(call);
+      if (this->silent.contains(call.upstream)) {
+        this->unanswered.push_back(call);
+        continue;
+      }
+      if (this->unreachable.contains(call.upstream)) {
+        this->Answer(call, tl::make_unexpected(ControlError::kNotSent));
+        continue;
+      }
+      this->Answer(call, this->CarryOut(call, this->now));
+    }
+  }
+
+  tl::expected<ControlAnswer, ControlError> CarryOut(const ControlCall& call,
+                                                     MonotonicTime arrived) {
+    TokenUpstream& upstream = this->upstreams[call.upstream];
+    if (const auto* grant = std::get_if<RangeGrantCall>(&call.request)) {
+      if (upstream.Grant(*grant, arrived)) return RangeGrantAnswer{};
+      return tl::make_unexpected(ControlError::kStaleToken);
+    }
+    upstream.Release(std::get<RangeReleaseCall>(call.request));
+    return RangeReleaseAnswer{Handover("h-" + call.upstream.value)};
+  }
+
+  void Answer(const ControlCall& call,
+              const tl::expected<ControlAnswer, ControlError>& answer) {
+    this->keeper->OnResult({call.id, call.upstream, answer}, this->now);
+  }
+
+  /// The unanswered calls fail for the keeper; the network still has them.
+  std::vector<ControlCall> FailUnanswered() {
+    std::vector<ControlCall> calls = std::exchange(this->unanswered, {});
+    for (const ControlCall& call : calls) {
+      this->Answer(call, tl::make_unexpected(ControlError::kUnreachable));
+    }
+    return calls;
+  }
+
+  std::vector<std::string> HoldersOf(std::uint16_t key) const {
+    std::vector<std::string> holders;
+    for (const auto& [id, upstream] : this->upstreams) {
+      if (upstream.Holds(ShardKey(key), this->now)) holders.push_back(id.value);
+    }
+    return holders;
+  }
+
+  std::optional<std::string> OwnerOf(std::uint16_t key) {
+    const OwnerMap map = this->keeper->ToMap(this->now);
+    const UpstreamRun* owner = map.FindOwner(kService, ShardKey(key));
+    if (owner == nullptr) return std::nullopt;
+    return owner->id.value;
+  }
+
+  void Move(std::uint16_t first, std::uint16_t last, const std::string& to) {
+    this->keeper->Move(kService,
+                       {{ShardKey(first), ShardKey(last)},
+                        {UpstreamId(to), UpstreamLife(1)}});
+  }
+
+  std::size_t CountSent(std::size_t request_index) const {
+    std::size_t count = 0;
+    for (const ControlCall& call : this->sent) {
+      if (call.request.index() == request_index) ++count;
+    }
+    return count;
+  }
+
+  MonotonicTime now{std::chrono::seconds(1'000)};
+  std::vector<RegisteredUpstream> entries;
+  std::map<UpstreamId, TokenUpstream> upstreams;
+  std::map<UpstreamId, bool> silent;
+  std::map<UpstreamId, bool> unreachable;
+  std::vector<ControlCall> unanswered;
+  std::vector<ControlCall> sent;
+  bool in_trouble = false;
+  std::uint64_t saved = 0;
+  Term term;
+  std::optional<RangeKeeper> keeper;
+};
+
+}  // namespace bamboorack::upstream::testing
+
+#endif  // BAMBOORACK_UNITTESTS_UPSTREAM_RANGE_WORLD_H_
--- /dev/null
+++ b/unittests/upstream/upstream_board_test.cc
@@ -0,0 +1,169 @@
+#include "bamboorack/upstream/upstream_board.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+
+namespace bamboorack::upstream {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServiceName kService("intake");
+
+RegisteredUpstream Entry(const std::string& id, const std::string& domain,
+                         std::uint64_t life = 1) {
+  RegisteredUpstream entry;
+  entry.run = {UpstreamId(id), UpstreamLife(life)};
+  entry.service = kService;
+  entry.failure_domain = FailureDomain(domain);
+  entry.slots = 4;
+  return entry;
+}
+
+struct Fixture {
+  Fixture() {
+    this->board.SetUpstreams(this->entries, this->now);
+  }
+
+  void End(const std::string& id, UpstreamOutcome outcome,
+           milliseconds latency = milliseconds(100)) {
+    this->board.OnEnded(UpstreamId(id), outcome, latency, milliseconds(100),
+                        this->now);
+  }
+
+  /// Sends requests until no upstream has room; returns how many.
+  int Fill() {
+    int sent = 0;
+    while (const auto id = this->board.Choose(kService, {}, this->now)) {
+      this->board.OnSent(*id);
+      ++sent;
+    }
+    return sent;
+  }
+
+  MonotonicTime now{seconds(10)};
+  std::vector<RegisteredUpstream> entries{
+      Entry("a", "east"), Entry("b", "west"), Entry("c", "east"),
+      Entry("d", "west"), Entry("e", "west")};
+  UpstreamBoard board{FailureDomain("east")};
+};
+
+TEST_CASE("several daemons overload the upstreams that they share") {
+  Fixture fixture;
+
+  SECTION("one daemon alone uses all slots and a small reserve") {
+    const int sent = fixture.Fill();
+    CHECK(sent >= 20);
+    CHECK(sent <= 25);
+  }
+
+  SECTION("what others have in hand is counted") {
+    fixture.board.OnSent(UpstreamId("a"));
+    fixture.board.SetPeerLoad(DaemonId("d1"), {{UpstreamId("a"), 4}},
+                              fixture.now);
+    CHECK_FALSE(fixture.board.HasRoom(UpstreamId("a"), fixture.now));
+    CHECK(fixture.board.HasRoom(UpstreamId("b"), fixture.now));
+    SECTION("but not for ever") {
+      CHECK(fixture.board.HasRoom(UpstreamId("a"), fixture.now + seconds(2)));
+    }
+  }
+
+  SECTION("the own failure domain is preferred while it has room") {
+    const auto first = fixture.board.Choose(kService, {}, fixture.now);
+    CHECK((first == UpstreamId("a") || first == UpstreamId("c")));
+  }
+
+  SECTION("a refusal lowers the limit, which grows again") {
+    for (int i = 0; i < 4; ++i) fixture.board.OnSent(UpstreamId("a"));
+    fixture.End("a", UpstreamOutcome::kFull);
+    CHECK_FALSE(fixture.board.HasRoom(UpstreamId("a"), fixture.now));
+    CHECK(fixture.board.HasRoom(UpstreamId("a"), fixture.now + seconds(2)));
+  }
+}
+
+TEST_CASE("an upstream that fails requests goes on getting them") {
+  Fixture fixture;
+  const UpstreamId a("a");
+
+  SECTION("after three losses in a row it is left out for a while") {
+    for (int i = 0; i < 3; ++i) {
+      fixture.board.OnSent(a);
+      fixture.End("a", UpstreamOutcome::kLost);
+    }
+    CHECK(fixture.board.IsEjected(a, fixture.now));
+    CHECK_FALSE(fixture.board.IsEjected(a, fixture.now + seconds(1)));
+    SECTION("a single request finds out whether it is back") {
+      CHECK_FALSE(fixture.board.TakeProbe(a, fixture.now));
+      fixture.now += milliseconds(300);
+      CHECK(fixture.board.TakeProbe(a, fixture.now));
+      CHECK_FALSE(fixture.board.TakeProbe(a, fixture.now));
+      fixture.End("a", UpstreamOutcome::kAnswered);
+      CHECK_FALSE(fixture.board.IsEjected(a, fixture.now));
+    }
+  }
+
+  SECTION("a service is never emptied") {
+    for (const std::string id : {"a", "b", "c", "d", "e"}) {
+      for (int i = 0; i < 3; ++i) {
+        fixture.board.OnSent(UpstreamId(id));
+        fixture.End(id, UpstreamOutcome::kLost);
+      }
+    }
+    CHECK(fixture.board.Choose(kService, {}, fixture.now).has_value());
+  }
+
+  SECTION("one that fails a part of its requests is passed over") {
+    for (int i = 0; i < 20; ++i) {
+      fixture.board.OnSent(a);
+      fixture.End("a", i % 2 == 0 ? UpstreamOutcome::kFailed
+                                  : UpstreamOutcome::kAnswered);
+    }
+    CHECK(fixture.board.Choose(kService, {}, fixture.now) == UpstreamId("c"));
+  }
+
+  SECTION("one whose address has another upstream gets nothing") {
+    fixture.End("a", UpstreamOutcome::kReplaced);
+    CHECK(fixture.board.IsEjected(a, fixture.now + seconds(60)));
+    CHECK_FALSE(fixture.board.TakeProbe(a, fixture.now + seconds(60)));
+    SECTION("until a new run is registered") {
+      fixture.entries[0] = Entry("a", "east", 2);
+      fixture.board.SetUpstreams(fixture.entries, fixture.now);
+      CHECK_FALSE(fixture.board.IsEjected(a, fixture.now));
+    }
+  }
+
+  SECTION("a slow one gets less") {
+    for (int i = 0; i < 60; ++i) {
+      fixture.board.OnSent(a);
+      fixture.End("a", UpstreamOutcome::kAnswered, milliseconds(500));
+    }
+    CHECK(fixture.board.LatencyRatio(a) > 3);
+    CHECK(fixture.board.Choose(kService, {}, fixture.now) == UpstreamId("c"));
+  }
+}
+
+TEST_CASE("a leaving upstream gets new work") {
+  Fixture fixture;
+  const UpstreamId a("a");
+  fixture.entries[0].is_draining = true;
+  fixture.board.SetUpstreams(fixture.entries, fixture.now);
+  CHECK_FALSE(fixture.board.Choose(kService, {UpstreamId("c")}, fixture.now) ==
+              a);
+  SECTION("requests for keys that it still holds pass for a moment") {
+    CHECK(fixture.board.MayServeKeys(a, fixture.now + milliseconds(800)));
+    CHECK_FALSE(fixture.board.MayServeKeys(a, fixture.now + milliseconds(950)));
+  }
+  SECTION("also if its entry is just gone") {
+    fixture.board.OnSent(UpstreamId("b"));
+    fixture.entries.erase(fixture.entries.begin() + 1);
+    fixture.board.SetUpstreams(fixture.entries, fixture.now);
+    CHECK(fixture.board.OwnInFlight(UpstreamId("b")) == 1);
+    CHECK_FALSE(
+        fixture.board.MayServeKeys(UpstreamId("b"), fixture.now + seconds(1)));
+  }
+}
+
+}  // namespace
+}  // namespace bamboorack::upstream
--- /dev/null
+++ b/unittests/upstream/wait_line_test.cc
@@ -0,0 +1,124 @@
+#include "bamboorack/upstream/wait_line.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+
+namespace bamboorack::upstream {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kService{100};
+
+WaitTicket Ticket(std::uint64_t request, std::uint32_t priority,
+                  MonotonicTime arrived, milliseconds target,
+                  milliseconds limit) {
+  return {request, priority, arrived, arrived + target, arrived + limit, {}};
+}
+
+TEST_CASE("a flood of one kind of request starves the others") {
+  WaitLine line;
+  MonotonicTime now{seconds(50)};
+
+  SECTION("urgent requests go first") {
+    line.Push(Ticket(1, 2, now, milliseconds(800), milliseconds(1'500)));
+    line.Push(Ticket(2, 0, now, milliseconds(250), milliseconds(1'000)));
+    CHECK(line.Pop(kService, now)->request == 2);
+  }
+
+  SECTION("a request that can still be in time goes before a late one") {
+    line.Push(Ticket(1, 1, now - milliseconds(290), milliseconds(300),
+                     milliseconds(1'200)));
+    line.Push(Ticket(2, 1, now, milliseconds(300), milliseconds(1'200)));
+    CHECK(line.Pop(kService, now)->request == 2);
+    CHECK(line.Pop(kService, now)->request == 1);
+  }
+
+  SECTION("uploads at ten times the room keep a floor and no more") {
+    // Room for 100 requests/s; 60 urgent and 1,000 others arrive each second.
+    std::map<std::uint32_t, int> served;
+    std::uint64_t request = 0;
+    for (int tick = 0; tick < 1'000; ++tick) {
+      now += milliseconds(10);
+      if (tick % 5 < 3) {
+        line.Push(Ticket(++request, 0, now, milliseconds(250), seconds(1)));
+      }
+      for (int i = 0; i < 10; ++i) {
+        line.Push(Ticket(++request, 2, now, milliseconds(800), seconds(1)));
+      }
+      line.TakeHopeless(kService, now);
+      const auto ticket = line.Pop(kService, now);
+      REQUIRE(ticket.has_value());
+      ++served[ticket->priority];
+      line.OnServed(now);
+    }
+    CHECK(served[0] >= 590);
+    CHECK(served[2] >= 125);
+  }
+
+  SECTION("a flood of urgent requests leaves the others an eighth") {
+    std::map<std::uint32_t, int> served;
+    std::uint64_t request = 0;
+    for (int tick = 0; tick < 800; ++tick) {
+      now += milliseconds(10);
+      for (int i = 0; i < 4; ++i) {
+        line.Push(Ticket(++request, 0, now, milliseconds(250), seconds(1)));
+      }
+      line.Push(Ticket(++request, 2, now, milliseconds(800), seconds(1)));
+      line.TakeHopeless(kService, now);
+      ++served[line.Pop(kService, now)->priority];
+    }
+    CHECK(served[2] >= 99);
+  }
+}
+
+TEST_CASE("a request waits for nothing") {
+  WaitLine line;
+  const MonotonicTime start{seconds(50)};
+  MonotonicTime now = start;
+
+  SECTION("before the first answer no wait is predicted") {
+    for (std::uint64_t i = 0; i < 50; ++i) {
+      line.Push(Ticket(i, 1, now, milliseconds(300), seconds(1)));
+    }
+    CHECK(line.ExpectedWait(1, now).count() == 0);
+  }
+
+  SECTION("the wait follows the rate at which the line moves") {
+    for (int i = 0; i < 100; ++i) {
+      now += milliseconds(10);
+      line.OnServed(now);
+    }
+    for (std::uint64_t i = 0; i < 100; ++i) {
+      line.Push(Ticket(i, 1, now, milliseconds(300), seconds(1)));
+    }
+    const auto wait = std::chrono::duration<double>(line.ExpectedWait(1, now));
+    CHECK(wait.count() == Approx(1.0).epsilon(0.1));
+    CHECK(line.ExpectedWait(0, now).count() == 0);
+  }
+
+  SECTION("what cannot be answered by its limit is taken out") {
+    line.Push(Ticket(1, 1, now, milliseconds(300), milliseconds(400)));
+    line.Push(Ticket(2, 1, now, milliseconds(300), milliseconds(900)));
+    now += milliseconds(380);
+    const auto hopeless = line.TakeHopeless(kService, now);
+    REQUIRE(hopeless.size() == 1);
+    CHECK(hopeless.front().request == 1);
+    CHECK(line.Size() == 1);
+  }
+
+  SECTION("a request that has to pause does not hold up the others") {
+    WaitTicket paused = Ticket(1, 0, now, milliseconds(300), seconds(1));
+    paused.not_before = now + milliseconds(40);
+    line.Push(paused);
+    line.Push(Ticket(2, 1, now, milliseconds(300), seconds(1)));
+    CHECK(line.Pop(kService, now)->request == 2);
+    CHECK_FALSE(line.Pop(kService, now).has_value());
+    CHECK(line.Pop(kService, now + milliseconds(40))->request == 1);
+  }
+}
+
+}  // namespace
+}  // namespace bamboorack::upstream
