upstream: tell an overload by a line that stands

Cause: counts of arrivals and answers of one daemon for one upstream are a few a second, so their ratio said overload where there was none. Change: a line that was not empty at any answer for 600 ms stands.

--- a/include/bamboorack/upstream/wait_line.h
+++ b/include/bamboorack/upstream/wait_line.h
@@ -32,22 +32,21 @@
 /// upstreams can take. Urgent requests go first, and within a priority those
 /// that can still be answered in time; each priority keeps a floor, so that
 /// none starves. What cannot start before its limit is refused on arrival. While
-/// more arrives than is served, that holds for all that would be late, since
-/// later arrivals go before it.
+/// the line does not empty, that holds for all that would be late, since later
+/// arrivals go before it.
 class WaitLine {
  public:
-  void Push(const WaitTicket& ticket);
+  void Push(const WaitTicket& ticket, MonotonicTime now);
   /// Takes the request that goes next, or nothing.
   std::optional<WaitTicket> Pop(MonotonicTime now);
   /// Returns the request to the line, as if it had not been taken.
-  void Return(const WaitTicket& ticket) { this->tickets.push_back(ticket); }
+  void Return(const WaitTicket& ticket, MonotonicTime now) {
+    this->Push(ticket, now);
+  }
   bool Remove(std::uint64_t request);
   /// Removes and returns the requests that cannot be answered by their limit.
   std::vector<WaitTicket> TakeHopeless(MonotonicTime now);
 
-  /// Counts one request that came to the line, whether or not it has to wait.
-  void OnArrived(MonotonicTime now);
-
   /// Counts one request that left an upstream, to learn how fast the line
   /// moves.
   void OnServed(MonotonicTime now);
@@ -69,19 +68,14 @@
   std::vector<WaitTicket> tickets;
   /// Pops since the floor was served.
   int pops_since_floor = 0;
-  /// Events in the current and in the last period.
-  struct Rate {
-    double now = 0;
-    double before = 0;
-
-    double Sum() const { return this->now + this->before; }
-  };
-
-  void StartPeriod(MonotonicTime now);
+  void NoteLength(MonotonicTime now);
 
-  Rate served;
-  Rate arrived;
+  /// Requests served in the current and in the last period.
+  double served_now = 0;
+  double served_before = 0;
   MonotonicTime period_start;
+  /// Set while the line is not empty: since when.
+  std::optional<MonotonicTime> standing_since;
 };
 
 }  // namespace bamboorack::upstream
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -233,7 +233,6 @@
 void GatewayRouter::WaitOrSend(Pending& pending, const LineKey& key,
                                bool is_new) {
   upstream::WaitLine& line = this->lines[key];
-  if (is_new) line.OnArrived(this->now);
   if (line.IsEmpty() && this->now >= pending.not_before) {
     if (const auto upstream = this->PickFor(pending, key)) {
       this->Send(pending, *upstream);
@@ -257,7 +256,7 @@
   }
   pending.place = Place::kLine;
   pending.line = key;
-  line.Push(ticket);
+  line.Push(ticket, this->now);
 }
 
 std::optional<UpstreamId> GatewayRouter::PickFor(const Pending& pending,
@@ -315,7 +314,7 @@
     Pending& pending = this->requests.at(ticket->request);
     const auto upstream = this->PickFor(pending, key);
     if (!upstream) {
-      line.Return(*ticket);
+      line.Return(*ticket, this->now);
       return;
     }
     this->Send(pending, *upstream);
--- a/lib/upstream/wait_line.cc
+++ b/lib/upstream/wait_line.cc
@@ -14,15 +14,16 @@
 // eighth, half of what a kind needs to be served a quarter as often as all.
 constexpr int kFloorEvery = 8;
 constexpr milliseconds kPeriod{500};
-// More arrivals than this for each request served are an overload; a Poisson
-// stream of 60 requests in a period varies by 13 %.
-constexpr double kOverload = 1.1;
+// A line that has not been empty for this time stands: more arrives than is
+// served. Lines of a Poisson stream below capacity empty sooner.
+constexpr milliseconds kStandingTime{600};
 constexpr std::size_t kNone = static_cast<std::size_t>(-1);
 
 }  // namespace
 
-void WaitLine::Push(const WaitTicket& ticket) {
+void WaitLine::Push(const WaitTicket& ticket, MonotonicTime now) {
   this->tickets.push_back(ticket);
+  this->NoteLength(now);
 }
 
 std::optional<WaitTicket> WaitLine::Pop(MonotonicTime now) {
@@ -84,32 +85,31 @@
   return hopeless;
 }
 
-void WaitLine::StartPeriod(MonotonicTime now) {
+void WaitLine::OnServed(MonotonicTime now) {
   const auto elapsed = now - this->period_start;
-  if (elapsed <= kPeriod) return;
-  const bool is_old = elapsed > 2 * kPeriod;
-  for (Rate* rate : {&this->served, &this->arrived}) {
-    rate->before = is_old ? 0 : rate->now;
-    rate->now = 0;
+  if (elapsed > kPeriod) {
+    this->served_before = elapsed > 2 * kPeriod ? 0 : this->served_now;
+    this->served_now = 0;
+    this->period_start = now;
   }
-  this->period_start = now;
-}
-
-void WaitLine::OnArrived(MonotonicTime now) {
-  this->StartPeriod(now);
-  ++this->arrived.now;
+  ++this->served_now;
+  // Between the pop and this call no request came that had to wait.
+  this->NoteLength(now);
 }
 
-void WaitLine::OnServed(MonotonicTime now) {
-  this->StartPeriod(now);
-  ++this->served.now;
+void WaitLine::NoteLength(MonotonicTime now) {
+  if (this->tickets.empty()) {
+    this->standing_since.reset();
+  } else if (!this->standing_since) {
+    this->standing_since = now;
+  }
 }
 
 bool WaitLine::CanServe(const WaitTicket& ticket, MonotonicTime now) const {
   const MonotonicTime start = now + this->ExpectedWait(ticket.priority, now);
   if (start > ticket.start_by) return false;
   const bool is_overloaded =
-      this->arrived.Sum() > this->served.Sum() * kOverload;
+      this->standing_since && now - *this->standing_since > kStandingTime;
   return !is_overloaded || start <= ticket.start_in_time;
 }
 
@@ -120,11 +120,12 @@
                                      return ticket.priority <= priority;
                                    });
   // Before the first answer nothing is known, and nothing is refused for it.
-  if (ahead == 0 || this->served.Sum() == 0) return nanoseconds(0);
+  const double served = this->served_now + this->served_before;
+  if (ahead == 0 || served == 0) return nanoseconds(0);
   const Seconds span = Seconds(kPeriod) +
                        std::min(Seconds(now - this->period_start),
                                 Seconds(kPeriod));
-  const double rate = this->served.Sum() / span.count();
+  const double rate = served / span.count();
   return std::chrono::duration_cast<nanoseconds>(
       Seconds(static_cast<double>(ahead) / rate));
 }
