upstream: share the slots of an upstream among many daemons

Change: while there is no room the daemons take turns; the limit falls only if all slots are taken; four requests may wait at an upstream; reports carry what is new, every 200 ms with 26 peers.

--- a/include/bamboorack/daemon/gateway_router.h
+++ b/include/bamboorack/daemon/gateway_router.h
@@ -111,7 +111,7 @@
   void DrainAll();
   void ReplaceWaiting();
   std::optional<UpstreamId> PickFor(const Pending& pending,
-                                    const LineKey& key) const;
+                                    const LineKey& key);
   void Send(Pending& pending, const UpstreamId& upstream);
   void LeaveLine(Pending& pending);
 
--- a/include/bamboorack/upstream/upstream_board.h
+++ b/include/bamboorack/upstream/upstream_board.h
@@ -35,12 +35,15 @@
 /// a request goes to.
 ///
 /// Load patterns: several daemons share upstreams of a few slots, so each
-/// counts the others' requests by their reports; an upstream that refuses,
+/// counts the others' requests by their reports; dozens of daemons meet at one
+/// upstream when a key turns hot, so while there is no room each sends one in
+/// its turn; an upstream that refuses,
 /// fails or turns slow gets less, without emptying a service; a service at its
 /// limit keeps what waits in the daemons, where it can be ordered.
 class UpstreamBoard {
  public:
-  explicit UpstreamBoard(FailureDomain own_domain);
+  /// `seed` makes the choices of different daemons differ.
+  UpstreamBoard(FailureDomain own_domain, std::uint64_t seed);
 
   void SetUpstreams(const std::vector<RegisteredUpstream>& entries,
                     MonotonicTime now);
@@ -49,7 +52,7 @@
                    const std::map<UpstreamId, std::uint32_t>& in_flight,
                    MonotonicTime now);
 
-  void OnSent(const UpstreamId& id);
+  void OnSent(const UpstreamId& id, MonotonicTime now);
   /// `latency` and `usual` are compared to learn the upstream's speed; `usual`
   /// is the mean latency of such requests, 0 if unknown.
   void OnEnded(const UpstreamId& id, UpstreamOutcome outcome,
@@ -69,7 +72,7 @@
   /// `tried`.
   std::optional<UpstreamId> Choose(const ServiceName& service,
                                    const std::set<UpstreamId>& tried,
-                                   MonotonicTime now) const;
+                                   MonotonicTime now);
   /// Whether the service has an upstream that is not draining.
   bool HasAny(const ServiceName& service) const;
   /// The requests that all upstreams of a service may have in hand together.
@@ -78,6 +81,8 @@
   std::uint32_t OwnInFlight(const UpstreamId& id) const;
   /// Latency against the mean; 1 is average, 0 if nothing was learned.
   double LatencyRatio(const UpstreamId& id) const;
+  /// The same, if something was learned since the last call; otherwise 0.
+  double TakeNewRatio(const UpstreamId& id);
   std::vector<UpstreamId> Ids() const;
   /// Whether the upstream gets no requests for now, since it failed several in
   /// a row or another one has its address.
@@ -98,8 +103,12 @@
     /// Set while the upstream is draining or not listed any more.
     std::optional<MonotonicTime> draining_since;
     std::uint32_t in_flight = 0;
+    MonotonicTime last_sent;
+    /// Smoothed time that a request takes there; 0 before the first answer.
+    std::chrono::nanoseconds latency{0};
     /// Smoothed; 0 before the first answer.
     double latency_ratio = 0;
+    bool has_new_ratio = false;
     /// Requests that it may have in hand, lowered by refusals.
     double limit = 1;
     MonotonicTime limit_updated;
@@ -117,12 +126,17 @@
   };
 
   double InHand(const Row& row, MonotonicTime now) const;
+  std::size_t ActivePeers(MonotonicTime now) const;
+  /// Returns a number from 1 to 1 + `kChoiceSpread`.
+  double DrawSpread();
   double LimitOf(const Row& row, MonotonicTime now) const;
   double Score(const Row& row, MonotonicTime now) const;
+  void LowerLimit(Row& row, MonotonicTime now);
   void Eject(Row& row, MonotonicTime now);
   double EjectedShare(const ServiceName& service, MonotonicTime now) const;
 
   const FailureDomain domain;
+  std::uint64_t random_state;
   std::map<UpstreamId, Row> rows;
   std::map<DaemonId, PeerLoad> peers;
 };
--- a/include/bamboorack/upstream/wait_line.h
+++ b/include/bamboorack/upstream/wait_line.h
@@ -31,18 +31,14 @@
 /// Load pattern: one kind of request floods in at twice to ten times what the
 /// upstreams can take. Urgent requests go first, and within a priority those
 /// that can still be answered in time; each priority keeps a floor, so that
-/// none starves. What cannot start before its limit is refused on arrival. While
-/// the line does not empty, that holds for all that would be late, since later
-/// arrivals go before it.
+/// none starves. What cannot start before its limit is refused on arrival.
 class WaitLine {
  public:
-  void Push(const WaitTicket& ticket, MonotonicTime now);
+  void Push(const WaitTicket& ticket);
   /// Takes the request that goes next, or nothing.
   std::optional<WaitTicket> Pop(MonotonicTime now);
   /// Returns the request to the line, as if it had not been taken.
-  void Return(const WaitTicket& ticket, MonotonicTime now) {
-    this->Push(ticket, now);
-  }
+  void Return(const WaitTicket& ticket) { this->Push(ticket); }
   bool Remove(std::uint64_t request);
   /// Removes and returns the requests that cannot be answered by their limit.
   std::vector<WaitTicket> TakeHopeless(MonotonicTime now);
@@ -68,14 +64,10 @@
   std::vector<WaitTicket> tickets;
   /// Pops since the floor was served.
   int pops_since_floor = 0;
-  void NoteLength(MonotonicTime now);
-
   /// Requests served in the current and in the last period.
   double served_now = 0;
   double served_before = 0;
   MonotonicTime period_start;
-  /// Set while the line is not empty: since when.
-  std::optional<MonotonicTime> standing_since;
 };
 
 }  // namespace bamboorack::upstream
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -32,7 +32,7 @@
 constexpr milliseconds kReportEvery{100};
 // The load of this many daemons is exchanged at that pace; more report less
 // often, so that the messages of one daemon do not grow with their square.
-constexpr std::size_t kPeersAtFullPace = 6;
+constexpr std::size_t kPeersAtFullPace = 13;
 constexpr std::chrono::seconds kPeerMemory{3};
 constexpr double kLatencyWeight = 0.05;
 constexpr nanoseconds kFirstLatency = milliseconds(120);
@@ -72,7 +72,8 @@
 GatewayRouter::GatewayRouter(const Identity& own_identity, Metrics& registry)
     : identity(own_identity),
       metrics(registry),
-      board(own_identity.failure_domain) {}
+      board(own_identity.failure_domain,
+            HashText(own_identity.daemon.value)) {}
 
 GatewayActions GatewayRouter::Take() { return std::exchange(this->actions, {}); }
 
@@ -256,11 +257,11 @@
   }
   pending.place = Place::kLine;
   pending.line = key;
-  line.Push(ticket, this->now);
+  line.Push(ticket);
 }
 
 std::optional<UpstreamId> GatewayRouter::PickFor(const Pending& pending,
-                                                 const LineKey& key) const {
+                                                 const LineKey& key) {
   if (!key.upstream.IsEmpty()) {
     if (!this->board.HasRoom(key.upstream, this->now)) return std::nullopt;
     return key.upstream;
@@ -282,7 +283,7 @@
   ++pending.attempts;
   pending.tried.insert(id);
   this->by_dispatch.emplace(pending.dispatch, pending.handle);
-  this->board.OnSent(id);
+  this->board.OnSent(id, this->now);
   upstream::Dispatch dispatch;
   dispatch.id = pending.dispatch;
   dispatch.upstream = {id, UpstreamInstance(id.value)};
@@ -314,7 +315,7 @@
     Pending& pending = this->requests.at(ticket->request);
     const auto upstream = this->PickFor(pending, key);
     if (!upstream) {
-      line.Return(*ticket, this->now);
+      line.Return(*ticket);
       return;
     }
     this->Send(pending, *upstream);
@@ -566,7 +567,7 @@
   report.sender = this->identity.daemon;
   for (const UpstreamId& id : this->board.Ids()) {
     const std::uint32_t in_flight = this->board.OwnInFlight(id);
-    const double ratio = this->board.LatencyRatio(id);
+    const double ratio = this->board.TakeNewRatio(id);
     if (in_flight == 0 && ratio == 0) continue;
     report.upstreams.push_back({peer::HashOf(id), in_flight, ratio});
   }
--- a/lib/upstream/upstream_board.cc
+++ b/lib/upstream/upstream_board.cc
@@ -13,7 +13,7 @@
 constexpr milliseconds kReportAge{1'200};
 // Requests that wait at an upstream so that its slots do not run empty while
 // an answer travels back.
-constexpr double kReserve = 1.0;
+constexpr double kReserve = 4.0;
 // A refused request lowers the limit by this factor; it then grows again by
 // one request each `kLimitGrowth`.
 constexpr double kLimitBackoff = 0.8;
@@ -33,11 +33,14 @@
 // before the own domain's is passed over: the way there, and bytes that are
 // charged for.
 constexpr double kOtherDomainFactor = 1.12;
+// How much the scores of equal upstreams differ between two choices, so that
+// daemons with the same reports do not send to the same one.
+constexpr double kChoiceSpread = 0.04;
 
 }  // namespace
 
-UpstreamBoard::UpstreamBoard(FailureDomain own_domain)
-    : domain(std::move(own_domain)) {}
+UpstreamBoard::UpstreamBoard(FailureDomain own_domain, std::uint64_t seed)
+    : domain(std::move(own_domain)), random_state(seed | 1U) {}
 
 void UpstreamBoard::SetUpstreams(const std::vector<RegisteredUpstream>& entries,
                                  MonotonicTime now) {
@@ -72,9 +75,11 @@
   this->peers[peer] = {in_flight, now};
 }
 
-void UpstreamBoard::OnSent(const UpstreamId& id) {
+void UpstreamBoard::OnSent(const UpstreamId& id, MonotonicTime now) {
   const auto found = this->rows.find(id);
-  if (found != this->rows.end()) ++found->second.in_flight;
+  if (found == this->rows.end()) return;
+  ++found->second.in_flight;
+  found->second.last_sent = now;
 }
 
 void UpstreamBoard::OnEnded(const UpstreamId& id, UpstreamOutcome outcome,
@@ -86,13 +91,7 @@
   Row& row = found->second;
   if (row.in_flight > 0) --row.in_flight;
   if (outcome == UpstreamOutcome::kNeutral) return;
-  if (outcome == UpstreamOutcome::kFull) {
-    row.limit = std::max(1.0, std::min(this->LimitOf(row, now),
-                                       this->InHand(row, now) + 1) *
-                                  kLimitBackoff);
-    row.limit_updated = now;
-    return;
-  }
+  if (outcome == UpstreamOutcome::kFull) this->LowerLimit(row, now);
   if (outcome == UpstreamOutcome::kReplaced) {
     row.is_replaced = true;
     return;
@@ -111,15 +110,33 @@
     row.ejections = 0;
     row.ejected_until = now;
   }
-  if (failed || usual.count() <= 0) return;
+  if (failed) return;
+  row.latency = row.latency.count() == 0
+                    ? latency
+                    : row.latency + std::chrono::duration_cast<
+                                        std::chrono::nanoseconds>(
+                                        (latency - row.latency) * kSpeedWeight);
+  if (usual.count() <= 0) return;
   const double ratio = std::clamp(Seconds(latency) / Seconds(usual), kMinRatio,
                                   kMaxRatio);
+  row.has_new_ratio = true;
   row.latency_ratio = row.latency_ratio == 0
                           ? 1 + (ratio - 1) * kSpeedWeight
                           : row.latency_ratio +
                                 (ratio - row.latency_ratio) * kSpeedWeight;
 }
 
+void UpstreamBoard::LowerLimit(Row& row, MonotonicTime now) {
+  const double in_hand = this->InHand(row, now) + 1;
+  // An upstream that refuses although it has free slots refuses for another
+  // reason, and fewer requests at once would not change that.
+  if (in_hand <= row.entry.slots) return;
+  row.limit = std::max<double>(
+      row.entry.slots, std::min(this->LimitOf(row, now), in_hand) *
+                           kLimitBackoff);
+  row.limit_updated = now;
+}
+
 void UpstreamBoard::Eject(Row& row, MonotonicTime now) {
   row.failures_in_a_row = 0;
   row.next_probe = now + kProbeEvery;
@@ -192,8 +209,30 @@
   const auto found = this->rows.find(id);
   if (found == this->rows.end()) return false;
   const Row& row = found->second;
-  if (row.in_flight == 0) return true;
-  return this->InHand(row, now) + 1 <= this->LimitOf(row, now);
+  const double limit = this->LimitOf(row, now);
+  const auto daemons = static_cast<double>(this->ActivePeers(now) + 1);
+  if (this->InHand(row, now) + 1 <= limit) return true;
+  // While there is no room, the daemons without a request there take turns.
+  if (row.in_flight > 0) return false;
+  const Seconds turn = Seconds(row.latency) * daemons / limit;
+  return now - row.last_sent >= turn;
+}
+
+std::size_t UpstreamBoard::ActivePeers(MonotonicTime now) const {
+  return static_cast<std::size_t>(std::count_if(
+      this->peers.begin(), this->peers.end(), [now](const auto& item) {
+        return now - item.second.at <= kReportAge;
+      }));
+}
+
+double UpstreamBoard::DrawSpread() {
+  // xorshift64, enough to keep daemons from choosing alike.
+  this->random_state ^= this->random_state << 13U;
+  this->random_state ^= this->random_state >> 7U;
+  this->random_state ^= this->random_state << 17U;
+  constexpr double kSteps = 1'024;
+  return 1 + kChoiceSpread *
+                 static_cast<double>(this->random_state % 1'024U) / kSteps;
 }
 
 bool UpstreamBoard::IsContended(const UpstreamId& id, MonotonicTime now) const {
@@ -204,7 +243,7 @@
 
 std::optional<UpstreamId> UpstreamBoard::Choose(
     const ServiceName& service, const std::set<UpstreamId>& tried,
-    MonotonicTime now) const {
+    MonotonicTime now) {
   const bool uses_all = this->EjectedShare(service, now) > kMaxEjected;
   const Row* best = nullptr;
   double best_score = 0;
@@ -213,7 +252,7 @@
     if (tried.contains(id) || row.is_replaced) continue;
     if (!uses_all && now < row.ejected_until) continue;
     if (!this->HasRoom(id, now)) continue;
-    const double score = this->Score(row, now);
+    const double score = this->Score(row, now) * this->DrawSpread();
     if (best != nullptr && best_score <= score) continue;
     best = &row;
     best_score = score;
@@ -249,6 +288,13 @@
   return found == this->rows.end() ? 0 : found->second.latency_ratio;
 }
 
+double UpstreamBoard::TakeNewRatio(const UpstreamId& id) {
+  const auto found = this->rows.find(id);
+  if (found == this->rows.end()) return 0;
+  const bool is_new = std::exchange(found->second.has_new_ratio, false);
+  return is_new ? found->second.latency_ratio : 0;
+}
+
 std::vector<UpstreamId> UpstreamBoard::Ids() const {
   std::vector<UpstreamId> ids;
   ids.reserve(this->rows.size());
--- a/lib/upstream/wait_line.cc
+++ b/lib/upstream/wait_line.cc
@@ -14,16 +14,12 @@
 // eighth, half of what a kind needs to be served a quarter as often as all.
 constexpr int kFloorEvery = 8;
 constexpr milliseconds kPeriod{500};
-// A line that has not been empty for this time stands: more arrives than is
-// served. Lines of a Poisson stream below capacity empty sooner.
-constexpr milliseconds kStandingTime{600};
 constexpr std::size_t kNone = static_cast<std::size_t>(-1);
 
 }  // namespace
 
-void WaitLine::Push(const WaitTicket& ticket, MonotonicTime now) {
+void WaitLine::Push(const WaitTicket& ticket) {
   this->tickets.push_back(ticket);
-  this->NoteLength(now);
 }
 
 std::optional<WaitTicket> WaitLine::Pop(MonotonicTime now) {
@@ -93,24 +89,10 @@
     this->period_start = now;
   }
   ++this->served_now;
-  // Between the pop and this call no request came that had to wait.
-  this->NoteLength(now);
-}
-
-void WaitLine::NoteLength(MonotonicTime now) {
-  if (this->tickets.empty()) {
-    this->standing_since.reset();
-  } else if (!this->standing_since) {
-    this->standing_since = now;
-  }
 }
 
 bool WaitLine::CanServe(const WaitTicket& ticket, MonotonicTime now) const {
-  const MonotonicTime start = now + this->ExpectedWait(ticket.priority, now);
-  if (start > ticket.start_by) return false;
-  const bool is_overloaded =
-      this->standing_since && now - *this->standing_since > kStandingTime;
-  return !is_overloaded || start <= ticket.start_in_time;
+  return now + this->ExpectedWait(ticket.priority, now) <= ticket.start_by;
 }
 
 nanoseconds WaitLine::ExpectedWait(std::uint32_t priority,
