log_service, daemon: the leader passes on what it reads of the log

Ruled out: one reader in each failure domain, which needs a second election; trusting relays for longer than 0.9 s, which would leave a leaving upstream unknown for 2 s when the leader is lost. Change: the leader sends what is new between two offsets in a datagram; a daemon that missed one reads what it lacks, and reads by itself when it hears none for 0.9 s. A leader in trouble asks the others to read, to tell a common outage.

--- a/include/bamboorack/core/upstream_registry.h
+++ b/include/bamboorack/core/upstream_registry.h
@@ -53,7 +53,8 @@
   void Set(const UpstreamId& id, const std::optional<RegisteredUpstream>& entry,
            MonotonicTime now);
   /// Takes the whole registry.
-  void Replace(const std::vector<RegisteredUpstream>& entries, MonotonicTime now);
+  void Replace(const std::vector<RegisteredUpstream>& entries,
+               MonotonicTime now);
   /// Tells that a call to the registry was answered, or that one failed.
   void NoteContact(MonotonicTime now) { this->last_contact = now; }
   void NoteFailure(MonotonicTime now);
--- a/include/bamboorack/daemon/gateway_rings.h
+++ b/include/bamboorack/daemon/gateway_rings.h
@@ -26,6 +26,8 @@
   BoundedRing<upstream::ControlResult> upstream_to_control{kControlCapacity};
   BoundedRing<GatewayTables> tables{kControlCapacity};
   BoundedRing<log_service::TopicUpdate> topics{kControlCapacity};
+  BoundedRing<log_service::TopicRelay> desired_state_relays{kControlCapacity};
+  BoundedRing<log_service::TopicRelay> upstream_relays{kControlCapacity};
   BoundedRing<log_service::StoreCall> store_calls{kControlCapacity};
   BoundedRing<log_service::StoreResult> store_results{kControlCapacity};
   BoundedRing<peer::ToGossip> to_gossip{kControlCapacity};
--- a/include/bamboorack/daemon/gateway_router.h
+++ b/include/bamboorack/daemon/gateway_router.h
@@ -110,8 +110,7 @@
   void DrainLine(const LineKey& key);
   void DrainAll();
   void ReplaceWaiting();
-  std::optional<UpstreamId> PickFor(const Pending& pending,
-                                    const LineKey& key);
+  std::optional<UpstreamId> PickFor(const Pending& pending, const LineKey& key);
   void Send(Pending& pending, const UpstreamId& upstream);
   void LeaveLine(Pending& pending);
 
--- a/include/bamboorack/daemon/ownership_duty.h
+++ b/include/bamboorack/daemon/ownership_duty.h
@@ -40,9 +40,9 @@
 };
 
 /// What the duty wants done.
-using DutyAction = std::variant<GatewayTables, log_service::StoreCall,
-                                upstream::ControlCall, peer::ToGossip,
-                                BeliefEvent>;
+using DutyAction =
+    std::variant<GatewayTables, log_service::StoreCall, upstream::ControlCall,
+                 peer::ToGossip, BeliefEvent, log_service::TopicRelay>;
 using DutyActions = std::vector<DutyAction>;
 
 /// Keeps what a daemon believes of the desired state, the upstreams and the
@@ -79,17 +79,21 @@
   void ApplyDesiredState(const log_service::TopicUpdate& update);
   void ApplyUpstreams(const log_service::TopicUpdate& update);
   void NoteStoreContact(const log_service::TopicUpdate& update);
-  void OnOwnershipRead(
-      const tl::expected<log_service::KeyedRecords, log_service::ReadFailure>&
-          read);
+  void OnOwnershipRead(const tl::expected<log_service::KeyedRecords,
+                                          log_service::ReadFailure>& read);
   void OnOwnershipAppended(
       const tl::expected<LogOffset, log_service::KeyedAppendFailure>& appended,
       MonotonicTime sent);
-  void OnDaemonsRead(
-      const tl::expected<log_service::KeyedRecords, log_service::ReadFailure>&
-          read);
+  void OnDaemonsRead(const tl::expected<log_service::KeyedRecords,
+                                        log_service::ReadFailure>& read);
   void OnReport(const peer::LoadReport& report);
   void OnBeat(const peer::LeaderBeat& beat);
+  void OnRelay(const peer::RecordRelay& relay);
+  /// Passes on what this daemon read while it leads.
+  void Relay(const log_service::TopicUpdate& update);
+  /// Whether a record of an upstream says something new, beside that it lives.
+  bool IsNews(const log_service::KeyedRecord& record);
+  void AskForContact();
 
   void CallStore();
   void CallForDirectory();
@@ -162,6 +166,12 @@
   std::optional<log_service::Topic> store_call;
 
   std::map<log_service::Topic, bool> store_contact;
+  /// The entries as they were last passed on.
+  std::map<std::string, RegisteredUpstream> relayed;
+  /// The last relay of the desired state, and when it was read.
+  peer::RecordRelay desired_state_relay;
+  MonotonicTime desired_state_read;
+  bool has_asked_for_contact = false;
   bool is_stopping = false;
 
   // Valid during one call.
--- a/include/bamboorack/daemon/ownership_thread.h
+++ b/include/bamboorack/daemon/ownership_thread.h
@@ -47,6 +47,7 @@
   void CallUpstream(DutyAction& action);
   void SendGossip(DutyAction& action);
   void LogBelief(DutyAction& action);
+  void PassRelay(DutyAction& action);
 
   OwnershipDuty& duty;
   GatewayRings& rings;
--- a/include/bamboorack/log_service/topic_follower_thread.h
+++ b/include/bamboorack/log_service/topic_follower_thread.h
@@ -24,9 +24,27 @@
   std::optional<std::string> failure;
   /// Whether `records` is everything that the topic holds.
   bool is_complete = false;
+  /// Whether another daemon read the records and passed them on.
+  bool is_relayed = false;
+  /// The records follow this offset and end before `end`.
+  LogOffset from{};
+  LogOffset end{};
   std::vector<KeyedRecord> records;
 };
 
+/// What another daemon read of a topic, so that this one need not.
+struct TopicRelay {
+  Topic topic = Topic::kDesiredState;
+  LogOffset from;
+  LogOffset end;
+  /// Whether `records` are all between the two offsets that say something new.
+  /// Otherwise the receiver has to read what it lacks itself.
+  bool has_records = false;
+  std::vector<KeyedRecord> records;
+  /// The sender asks for a read, to learn who reaches the log.
+  bool wants_read = false;
+};
+
 /// How a topic is followed.
 struct FollowPlan {
   Topic topic = Topic::kDesiredState;
@@ -36,12 +54,14 @@
   std::chrono::milliseconds pace{0};
 };
 
-/// Follows one topic of the platform's log with one thread.
+/// Follows one topic of the platform's log with one thread. While another
+/// daemon passes on what it reads, the thread reads only what it missed.
 class TopicFollowerThread {
  public:
   /// `out` and `metrics` must outlive this object.
   TopicFollowerThread(const FollowPlan& follow_plan,
                       std::unique_ptr<KeyedLog> keyed_log,
+                      BoundedRing<TopicRelay>& in_ring,
                       BoundedRing<TopicUpdate>& out_ring, Metrics& registry);
   ~TopicFollowerThread();
   TopicFollowerThread(const TopicFollowerThread&) = delete;
@@ -54,10 +74,15 @@
   void Run(const std::stop_token& stop);
   /// Returns whether the read succeeded.
   bool ReadOnce(const std::stop_token& stop);
+  /// Returns when the next read is due.
+  MonotonicTime ReadAndPace(const std::stop_token& stop);
+  /// Returns whether the thread now knows what the sender of `relay` does.
+  bool TakeRelay(TopicRelay& relay);
   void Report(TopicUpdate update);
 
   const FollowPlan plan;
   std::unique_ptr<KeyedLog> log;
+  BoundedRing<TopicRelay>& in;
   BoundedRing<TopicUpdate>& out;
   Metrics& metrics;
   /// Where the next read starts. Empty until the whole topic was read.
--- a/include/bamboorack/peer/gossip.h
+++ b/include/bamboorack/peer/gossip.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -79,7 +81,20 @@
   std::optional<HashedOwners> owners;
 };
 
-using Gossip = std::variant<LoadReport, LeaderBeat>;
+/// What the leader of ownership read of the log's topic with this number, so
+/// that the other daemons need not.
+struct RecordRelay {
+  std::uint8_t topic = 0;
+  LogOffset from;
+  LogOffset end;
+  /// Pairs of a key and its value, or nothing for a removed key. Absent if the
+  /// receivers have to read themselves.
+  std::optional<std::vector<std::pair<std::string, std::optional<std::string>>>>
+      records{};
+  bool wants_read = false;
+};
+
+using Gossip = std::variant<LoadReport, LeaderBeat, RecordRelay>;
 
 /// Replaces the daemons that are sent to.
 struct SetPeers {
@@ -87,7 +102,7 @@
 };
 
 /// To the gossip thread.
-using ToGossip = std::variant<LoadReport, LeaderBeat, SetPeers>;
+using ToGossip = std::variant<LoadReport, LeaderBeat, RecordRelay, SetPeers>;
 
 }  // namespace bamboorack::peer
 
--- a/include/bamboorack/upstream/range_keeper.h
+++ b/include/bamboorack/upstream/range_keeper.h
@@ -65,7 +65,8 @@
 /// the next order has a higher token, which fences it.
 class RangeKeeper {
  public:
-  explicit RangeKeeper(const RangeLeases& range_leases) : leases(range_leases) {}
+  explicit RangeKeeper(const RangeLeases& range_leases)
+      : leases(range_leases) {}
 
   /// Starts a term with what the last record says. No lease of the predecessor
   /// lasts longer than `leases_end`.
@@ -187,8 +188,8 @@
                  const UpstreamRun& to);
   void OnGrantResult(const ServiceName& service, Range& range,
                      const ControlResult& result, MonotonicTime now);
-  void OnReleaseResult(Range& range,
-                       const ControlResult& result, MonotonicTime now);
+  void OnReleaseResult(Range& range, const ControlResult& result,
+                       MonotonicTime now);
   void OnGrantFailed(Range& range, ControlError error, MonotonicTime now);
   void SetPhase(const ServiceName& service, Range& range, Phase phase,
                 std::string_view what);
--- a/include/bamboorack/upstream/range_leadership.h
+++ b/include/bamboorack/upstream/range_leadership.h
@@ -24,8 +24,10 @@
   /// The mandate, and the way of the last order to an upstream.
   static constexpr std::chrono::milliseconds kTakeoverWait{1'250};
   static constexpr std::chrono::milliseconds kRenewEvery{300};
-  /// Without a renewal for this long, the leader prepares for an outage.
-  static constexpr std::chrono::milliseconds kTroubleAfter{600};
+  /// Without a renewal for this long, the leader asks the others whether they
+  /// reach the log, and then prepares for an outage.
+  static constexpr std::chrono::milliseconds kTroubleAfter{500};
+  static constexpr std::chrono::milliseconds kExtendAfter{780};
   /// A follower looks at the record when it has not heard of the leader for
   /// this time: two periods of the leader's messages.
   static constexpr std::chrono::milliseconds kLeaderSilence{400};
@@ -66,6 +68,8 @@
   bool MaySendOrders(MonotonicTime now) const;
   /// Whether the mandate is about to end without a renewal.
   bool IsInTrouble(MonotonicTime now) const;
+  /// Whether it is time for the longest leases, if the outage is common.
+  bool MustExtend(MonotonicTime now) const;
   Role GetRole() const { return this->role; }
   /// The own term of a leader, the term to claim of a follower.
   Term OwnTerm() const { return this->term; }
--- a/include/bamboorack/upstream/upstream_board.h
+++ b/include/bamboorack/upstream/upstream_board.h
@@ -56,8 +56,8 @@
   /// `latency` and `usual` are compared to learn the upstream's speed; `usual`
   /// is the mean latency of such requests, 0 if unknown.
   void OnEnded(const UpstreamId& id, UpstreamOutcome outcome,
-               std::chrono::nanoseconds latency,
-               std::chrono::nanoseconds usual, MonotonicTime now);
+               std::chrono::nanoseconds latency, std::chrono::nanoseconds usual,
+               MonotonicTime now);
 
   /// Returns the entry of an upstream that may get new requests, or null.
   const RegisteredUpstream* Find(const UpstreamId& id) const;
--- a/lib/core/event_log.cc
+++ b/lib/core/event_log.cc
@@ -91,8 +91,8 @@
                                std::chrono::nanoseconds value) {
   if (this->log == nullptr) return *this;
   this->Name(std::string(name) + "_ms");
-  this->line.append(std::to_string(
-      std::chrono::duration_cast<milliseconds>(value).count()));
+  this->line.append(
+      std::to_string(std::chrono::duration_cast<milliseconds>(value).count()));
   return *this;
 }
 
--- a/lib/daemon/gateway.cc
+++ b/lib/daemon/gateway.cc
@@ -98,9 +98,11 @@
         store_calls(adapter.make_log(), rings.store_calls, rings.store_results,
                     metrics),
         desired_state({Topic::kDesiredState, kDesiredStateWait, {}},
-                      adapter.make_log(), rings.topics, metrics),
+                      adapter.make_log(), rings.desired_state_relays,
+                      rings.topics, metrics),
         upstream_registry({Topic::kUpstreams, {}, kUpstreamsPace},
-                          adapter.make_log(), rings.topics, metrics) {}
+                          adapter.make_log(), rings.upstream_relays,
+                          rings.topics, metrics) {}
 
   tl::expected<void, std::string> Start() {
     if (auto started = this->callers.Start(); !started) return started;
@@ -119,7 +121,9 @@
     return {};
   }
 
-  bool IsReady() const { return !this->is_draining && this->ownership.IsReady(); }
+  bool IsReady() const {
+    return !this->is_draining && this->ownership.IsReady();
+  }
 
   void BeginDrain() {
     this->is_draining = true;
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -18,8 +18,8 @@
 constexpr double kRetryShare = 0.15;
 // The upstream's own answer at the limit is on its way for this time.
 constexpr milliseconds kAnswerTravel{80};
-// A key in a planned move is back when the work on it has ended. A request waits
-// for that for this part of its time, in percent.
+// A key in a planned move is back when the work on it has ended. A request
+// waits for that for this part of its time, in percent.
 constexpr int kOwnerPatiencePercent = 35;
 constexpr milliseconds kNoOwnerRetry{500};
 // Keys of a lost upstream are back when its lease has run out.
@@ -73,10 +73,11 @@
 GatewayRouter::GatewayRouter(const Identity& own_identity, Metrics& registry)
     : identity(own_identity),
       metrics(registry),
-      board(own_identity.failure_domain,
-            HashText(own_identity.daemon.value)) {}
+      board(own_identity.failure_domain, HashText(own_identity.daemon.value)) {}
 
-GatewayActions GatewayRouter::Take() { return std::exchange(this->actions, {}); }
+GatewayActions GatewayRouter::Take() {
+  return std::exchange(this->actions, {});
+}
 
 GatewayActions GatewayRouter::OnTables(const GatewayTables& new_tables,
                                        MonotonicTime time) {
@@ -388,9 +389,8 @@
                                       ? UpstreamOutcome::kNeutral
                                       : OutcomeOf(result.result);
   // Only requests that found a slot tell how fast an upstream is.
-  const nanoseconds usual = pending.is_contended
-                                ? nanoseconds(0)
-                                : this->UsualLatency(pending.route);
+  const nanoseconds usual =
+      pending.is_contended ? nanoseconds(0) : this->UsualLatency(pending.route);
   this->board.OnEnded(upstream, outcome, latency, usual, this->now);
   this->lines[pending.is_sharded ? own_line : service_line].OnServed(this->now);
   if (outcome == UpstreamOutcome::kAnswered && !pending.is_contended) {
@@ -408,8 +408,8 @@
 }
 
 bool GatewayRouter::MayRetry(const Pending& pending, const Refusal& refusal) {
-  const bool is_safe = refusal.ending == Ending::kNotRun ||
-                       IsIdempotent(pending.repeatability);
+  const bool is_safe =
+      refusal.ending == Ending::kNotRun || IsIdempotent(pending.repeatability);
   if (!is_safe || pending.attempts >= pending.max_attempts) return false;
   if (refusal.reason == Reason::kCancelled) return false;
   if (refusal.reason == Reason::kStopping) return false;
@@ -442,14 +442,14 @@
                         pending.is_sharded ? pending.upstream : UpstreamId()};
       const auto line = this->lines.find(key);
       refusal.retry_after = this->SpreadRetry(
-          pending, line == this->lines.end()
-                       ? nanoseconds(0)
-                       : line->second.ExpectedWait(pending.priority, this->now));
+          pending,
+          line == this->lines.end()
+              ? nanoseconds(0)
+              : line->second.ExpectedWait(pending.priority, this->now));
     }
     this->Log(pending, EventKind::kRequestTrouble,
               refusal.ending == Ending::kNotRun ? "refused" : "failed",
-              refusal.reason,
-              refusal.retry_after.value_or(milliseconds(0)));
+              refusal.reason, refusal.retry_after.value_or(milliseconds(0)));
   } else {
     this->Log(pending, EventKind::kRequestDone, "answered", std::nullopt);
     std::get<RequestEvent>(this->actions.back()).status = result->status;
@@ -462,9 +462,9 @@
 void GatewayRouter::Refuse(Pending& pending, Reason reason, std::string detail,
                            nanoseconds retry_after) {
   this->LeaveLine(pending);
-  this->Finish(pending, tl::make_unexpected(Refusal{
-                            Ending::kNotRun, reason, std::move(detail),
-                            this->SpreadRetry(pending, retry_after)}));
+  this->Finish(pending, tl::make_unexpected(
+                            Refusal{Ending::kNotRun, reason, std::move(detail),
+                                    this->SpreadRetry(pending, retry_after)}));
 }
 
 milliseconds GatewayRouter::SpreadRetry(const Pending& pending,
@@ -525,8 +525,7 @@
 void GatewayRouter::RefuseHopeless() {
   std::vector<Handle> hopeless;
   for (auto& [key, line] : this->lines) {
-    for (const upstream::WaitTicket& ticket :
-         line.TakeHopeless(this->now)) {
+    for (const upstream::WaitTicket& ticket : line.TakeHopeless(this->now)) {
       hopeless.push_back(ticket.request);
     }
   }
@@ -558,8 +557,8 @@
       this->peers.begin(), this->peers.end(), [this](const auto& item) {
         return this->now - item.second < kPeerMemory;
       });
-  const auto factor =
-      std::max<std::size_t>(1, static_cast<std::size_t>(alive) / kPeersAtFullPace);
+  const auto factor = std::max<std::size_t>(
+      1, static_cast<std::size_t>(alive) / kPeersAtFullPace);
   return kReportEvery * factor;
 }
 
@@ -577,9 +576,9 @@
   }
   this->demand.clear();
   if (this->tables.upstreams_read != MonotonicTime{}) {
-    report.log_contact_age = std::max(
-        milliseconds(0), std::chrono::duration_cast<milliseconds>(
-                             this->now - this->tables.upstreams_read));
+    report.log_contact_age =
+        std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(
+                                      this->now - this->tables.upstreams_read));
   }
   const bool has_load = !report.upstreams.empty() || !report.demands.empty();
   if (!has_load && !this->reported_load) return;
--- a/lib/daemon/gateway_router_thread.cc
+++ b/lib/daemon/gateway_router_thread.cc
@@ -86,11 +86,10 @@
                                    MonotonicTime now) {
   // One row for each alternative of `GatewayAction`.
   static constexpr std::array<ActionHandler, std::variant_size_v<GatewayAction>>
-      kHandlers = {&GatewayRouterThread::AnswerCaller,
-                   &GatewayRouterThread::Dispatch,
-                   &GatewayRouterThread::CancelDispatch,
-                   &GatewayRouterThread::ReportLoad,
-                   &GatewayRouterThread::LogRequest};
+      kHandlers = {
+          &GatewayRouterThread::AnswerCaller, &GatewayRouterThread::Dispatch,
+          &GatewayRouterThread::CancelDispatch,
+          &GatewayRouterThread::ReportLoad, &GatewayRouterThread::LogRequest};
   for (GatewayAction& action : actions) {
     (this->*kHandlers.at(action.index()))(action, now);
   }
@@ -107,14 +106,13 @@
   auto& dispatch = std::get<upstream::Dispatch>(action);
   const DispatchId id = dispatch.id;
   if (this->rings.to_upstream.TryPush(std::move(dispatch))) return;
-  this->CarryOut(this->router.OnUpstream(
-                     upstream::DispatchResult{id, NotRun(Reason::kRingFull)},
-                     now),
-                 now);
+  this->CarryOut(
+      this->router.OnUpstream(
+          upstream::DispatchResult{id, NotRun(Reason::kRingFull)}, now),
+      now);
 }
 
-void GatewayRouterThread::CancelDispatch(GatewayAction& action,
-                                         MonotonicTime) {
+void GatewayRouterThread::CancelDispatch(GatewayAction& action, MonotonicTime) {
   const auto& cancel = std::get<upstream::CancelDispatch>(action);
   if (!this->rings.to_upstream.TryPush(upstream::ToUpstream(cancel))) {
     this->metrics.Count("cancels_dropped");
--- a/lib/daemon/ownership_duty.cc
+++ b/lib/daemon/ownership_duty.cc
@@ -35,6 +35,11 @@
 constexpr milliseconds kDirectoryRetry{700};
 // A leader that cannot reach this share of the upstreams for this time leaves
 // the duty to a daemon that may reach them.
+// A read of the desired state waits for a change for 1.5 s, and may take 0.8 s
+// longer on a slow log.
+constexpr milliseconds kDesiredStateAge{2'300};
+// More changes than this do not fit a datagram for certain.
+constexpr std::size_t kMaxRelayed = 60;
 constexpr double kLostShare = 0.5;
 constexpr milliseconds kLostTime{700};
 constexpr seconds kStepDownTime{7};
@@ -86,6 +91,7 @@
   this->now = time;
   this->NoteStoreContact(update);
   if (!update.failure) {
+    this->Relay(update);
     if (update.topic == Topic::kDesiredState) this->ApplyDesiredState(update);
     if (update.topic == Topic::kUpstreams) this->ApplyUpstreams(update);
   }
@@ -97,6 +103,8 @@
   if (update.topic == Topic::kUpstreams && !is_up) {
     this->registry.NoteFailure(this->now);
   }
+  // A relay tells of the log, but not that it can be reached from here.
+  if (update.is_relayed) return;
   if (update.topic == Topic::kUpstreams && is_up) {
     this->registry.NoteContact(this->now);
     this->tables.upstreams_read = update.at;
@@ -111,8 +119,75 @@
              {"detail", update.failure.value_or("")}});
 }
 
-void OwnershipDuty::ApplyDesiredState(
-    const log_service::TopicUpdate& update) {
+bool OwnershipDuty::IsNews(const log_service::KeyedRecord& record) {
+  if (!record.value) {
+    this->relayed.erase(record.key);
+    return true;
+  }
+  auto entry = this->documents->ReadUpstream(record.key, *record.value);
+  if (!entry) return true;
+  entry->warm_up_left = milliseconds(0);
+  const auto [known, is_new] = this->relayed.try_emplace(record.key, *entry);
+  if (!is_new && known->second == *entry) return false;
+  known->second = std::move(*entry);
+  return true;
+}
+
+void OwnershipDuty::Relay(const log_service::TopicUpdate& update) {
+  const bool is_leader =
+      this->leadership.GetRole() == RangeLeadership::Role::kLeader;
+  if (!is_leader || update.is_relayed) return;
+  peer::RecordRelay relay;
+  relay.topic = static_cast<std::uint8_t>(update.topic);
+  relay.from = update.from;
+  relay.end = update.end;
+  // A desired state may be larger than a datagram, and changes rarely.
+  if (update.topic == Topic::kUpstreams && !update.is_complete) {
+    relay.records.emplace();
+    for (const log_service::KeyedRecord& record : update.records) {
+      if (!this->IsNews(record)) continue;
+      relay.records->emplace_back(record.key, record.value);
+    }
+    if (relay.records->size() > kMaxRelayed) relay.records.reset();
+  }
+  if (update.topic == Topic::kDesiredState) {
+    this->desired_state_relay = relay;
+    this->desired_state_read = this->now;
+  } else if (this->now - this->desired_state_read < kDesiredStateAge) {
+    // Its reads wait for a change, longer than relays are trusted.
+    this->actions.emplace_back(peer::ToGossip(this->desired_state_relay));
+  }
+  this->actions.emplace_back(peer::ToGossip(std::move(relay)));
+}
+
+void OwnershipDuty::OnRelay(const peer::RecordRelay& relay) {
+  if (relay.topic >= log_service::kTopicNames.size()) return;
+  log_service::TopicRelay hint;
+  hint.topic = static_cast<Topic>(relay.topic);
+  hint.from = relay.from;
+  hint.end = relay.end;
+  hint.wants_read = relay.wants_read;
+  hint.has_records = relay.records.has_value();
+  if (relay.records) {
+    for (const auto& [key, value] : *relay.records) {
+      hint.records.push_back({key, value});
+    }
+  }
+  this->actions.emplace_back(std::move(hint));
+}
+
+void OwnershipDuty::AskForContact() {
+  const bool is_in_trouble = this->leadership.IsInTrouble(this->now);
+  const bool asks = is_in_trouble && !this->has_asked_for_contact;
+  this->has_asked_for_contact = is_in_trouble;
+  if (!asks) return;
+  peer::RecordRelay relay;
+  relay.topic = static_cast<std::uint8_t>(Topic::kUpstreams);
+  relay.wants_read = true;
+  this->actions.emplace_back(peer::ToGossip(std::move(relay)));
+}
+
+void OwnershipDuty::ApplyDesiredState(const log_service::TopicUpdate& update) {
   for (const log_service::KeyedRecord& record : update.records) {
     if (record.key != this->documents->DesiredStateKey() || !record.value) {
       continue;
@@ -169,8 +244,8 @@
       std::make_shared<const std::vector<RegisteredUpstream>>(
           std::move(entries));
   this->has_new_tables = true;
-  const bool is_heard =
-      this->tables.owners && this->tables.owners->version == this->heard_version;
+  const bool is_heard = this->tables.owners &&
+                        this->tables.owners->version == this->heard_version;
   if (is_heard) this->ApplyHeardOwners();
 }
 
@@ -272,6 +347,8 @@
   this->now = time;
   if (const auto* report = std::get_if<peer::LoadReport>(&message)) {
     this->OnReport(*report);
+  } else if (const auto* relay = std::get_if<peer::RecordRelay>(&message)) {
+    this->OnRelay(*relay);
   } else {
     this->OnBeat(std::get<peer::LeaderBeat>(message));
   }
@@ -327,10 +404,10 @@
                                        MonotonicTime time) {
   this->now = time;
   this->leadership.OnSuspended(time);
-  this->Say(
-      EventKind::kProcess, "suspended",
-      {{"for_ms", std::to_string(
-                      std::chrono::duration_cast<milliseconds>(length).count())}});
+  this->Say(EventKind::kProcess, "suspended",
+            {{"for_ms",
+              std::to_string(
+                  std::chrono::duration_cast<milliseconds>(length).count())}});
   return this->Take();
 }
 
@@ -360,8 +437,8 @@
       this->Say(EventKind::kOwnership, "leadership_lost");
     }
   }
-  this->metrics.SetGauge(
-      "is_leader", role == RangeLeadership::Role::kLeader ? 1 : 0);
+  this->metrics.SetGauge("is_leader",
+                         role == RangeLeadership::Role::kLeader ? 1 : 0);
   if (!this->leadership.MaySendOrders(this->now)) {
     if (role == RangeLeadership::Role::kLeader) this->StateLapse();
     return;
@@ -373,16 +450,16 @@
     }
     this->keeper.SetServices(sharded);
   }
+  this->AskForContact();
   if (this->now >= this->next_plan && !this->is_stopping) {
     this->next_plan = this->now + kPlanEvery;
     this->PlanMoves();
     this->CheckReach();
   }
-  for (upstream::ControlCall& call :
-       this->keeper.Step(this->saved_change,
-                         this->leadership.IsInTrouble(this->now) &&
-                             this->IsCommonOutage(),
-                         this->now)) {
+  for (upstream::ControlCall& call : this->keeper.Step(
+           this->saved_change,
+           this->leadership.MustExtend(this->now) && this->IsCommonOutage(),
+           this->now)) {
     this->actions.emplace_back(std::move(call));
   }
   this->LogRangeEvents();
@@ -422,9 +499,9 @@
   peer::LeaderBeat beat;
   beat.sender = this->identity.daemon;
   beat.version = this->sent_version;
-  beat.lapsed = peer::LeaseStatement{
-      this->leadership.ExpectedEnd(),
-      std::chrono::ceil<milliseconds>(end - this->now)};
+  beat.lapsed =
+      peer::LeaseStatement{this->leadership.ExpectedEnd(),
+                           std::chrono::ceil<milliseconds>(end - this->now)};
   this->actions.emplace_back(peer::ToGossip(std::move(beat)));
 }
 
@@ -570,11 +647,10 @@
     this->sent_change = record.change;
   }
   this->actions.emplace_back(StoreCall{
-      this->now + kStoreLimit,
-      KeyedAppend{Topic::kOwnership,
-                  {std::string(kOwnershipKey),
-                   upstream::EncodeOwnership(record)},
-                  this->leadership.ExpectedEnd()}});
+      this->now + kStoreLimit, KeyedAppend{Topic::kOwnership,
+                                           {std::string(kOwnershipKey),
+                                            upstream::EncodeOwnership(record)},
+                                           this->leadership.ExpectedEnd()}});
 }
 
 void OwnershipDuty::CallForDirectory() {
@@ -587,10 +663,10 @@
   }
   this->actions.emplace_back(StoreCall{
       this->now + kStoreLimit,
-      KeyedAppend{Topic::kDaemons,
-                  {this->identity.daemon.value,
-                   ToText(this->identity.gossip_endpoint)},
-                  std::nullopt}});
+      KeyedAppend{
+          Topic::kDaemons,
+          {this->identity.daemon.value, ToText(this->identity.gossip_endpoint)},
+          std::nullopt}});
 }
 
 bool OwnershipDuty::IsHandedOver() const {
--- a/lib/daemon/ownership_thread.cc
+++ b/lib/daemon/ownership_thread.cc
@@ -102,9 +102,9 @@
 void OwnershipThread::CarryOut(DutyActions&& actions) {
   // One row for each alternative of `DutyAction`.
   static constexpr std::array<ActionHandler, std::variant_size_v<DutyAction>>
-      kHandlers = {&OwnershipThread::Publish, &OwnershipThread::CallStore,
-                   &OwnershipThread::CallUpstream,
-                   &OwnershipThread::SendGossip, &OwnershipThread::LogBelief};
+      kHandlers = {&OwnershipThread::Publish,      &OwnershipThread::CallStore,
+                   &OwnershipThread::CallUpstream, &OwnershipThread::SendGossip,
+                   &OwnershipThread::LogBelief,    &OwnershipThread::PassRelay};
   for (DutyAction& action : actions) {
     (this->*kHandlers.at(action.index()))(action);
   }
@@ -138,6 +138,15 @@
   }
 }
 
+void OwnershipThread::PassRelay(DutyAction& action) {
+  auto& relay = std::get<log_service::TopicRelay>(action);
+  auto& ring = relay.topic == log_service::Topic::kUpstreams
+                   ? this->rings.upstream_relays
+                   : this->rings.desired_state_relays;
+  // A lost relay leaves a gap, which the follower fills from the log.
+  if (!ring.TryPush(std::move(relay))) this->metrics.Count("relays_dropped");
+}
+
 void OwnershipThread::LogBelief(DutyAction& action) {
   const auto& event = std::get<BeliefEvent>(action);
   EventLine line = this->log.Line(event.kind, event.what);
--- a/lib/log_service/topic_follower_thread.cc
+++ b/lib/log_service/topic_follower_thread.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "bamboorack/core/stoppable_wait.h"
-
 namespace bamboorack::log_service {
 namespace {
 
@@ -16,15 +14,20 @@
 // Between two attempts while the log cannot be reached. Calls that are turned
 // away are charged for too.
 constexpr milliseconds kRetryPause{300};
+// Without a relay for this time the thread reads itself. With the pace of the
+// reads it stays below the time within which leaving upstreams must be known.
+constexpr milliseconds kRelayTrust{900};
 
 }  // namespace
 
 TopicFollowerThread::TopicFollowerThread(const FollowPlan& follow_plan,
                                          std::unique_ptr<KeyedLog> keyed_log,
+                                         BoundedRing<TopicRelay>& in_ring,
                                          BoundedRing<TopicUpdate>& out_ring,
                                          Metrics& registry)
     : plan(follow_plan),
       log(std::move(keyed_log)),
+      in(in_ring),
       out(out_ring),
       metrics(registry) {}
 
@@ -38,21 +41,49 @@
 void TopicFollowerThread::Stop() {
   if (!this->thread.joinable()) return;
   this->thread.request_stop();
+  this->in.Close();
   this->thread.join();
 }
 
 void TopicFollowerThread::Run(const std::stop_token& stop) {
+  MonotonicTime next_read = steady_clock::now();
   while (!stop.stop_requested()) {
-    const MonotonicTime started = steady_clock::now();
-    const bool succeeded = this->ReadOnce(stop);
-    const MonotonicTime next =
-        succeeded ? started + this->plan.pace
-                  : std::max(started + this->plan.pace,
-                             steady_clock::now() + kRetryPause);
-    if (next > steady_clock::now() && !WaitUntil(stop, next)) return;
+    auto relay = this->in.PopUntil(next_read);
+    if (!relay) {
+      if (stop.stop_requested()) return;
+      next_read = this->ReadAndPace(stop);
+      continue;
+    }
+    // Relays that came during a read are old news; the last one counts.
+    bool is_known = this->TakeRelay(*relay);
+    while (auto newer = this->in.TryPop()) is_known = this->TakeRelay(*newer);
+    if (!is_known) this->ReadOnce(stop);
+    next_read = steady_clock::now() + kRelayTrust;
   }
 }
 
+MonotonicTime TopicFollowerThread::ReadAndPace(const std::stop_token& stop) {
+  const MonotonicTime started = steady_clock::now();
+  if (this->ReadOnce(stop)) return started + this->plan.pace;
+  return std::max(started + this->plan.pace, steady_clock::now() + kRetryPause);
+}
+
+bool TopicFollowerThread::TakeRelay(TopicRelay& relay) {
+  if (!this->position || relay.wants_read) return false;
+  if (relay.end <= *this->position) return true;
+  if (!relay.has_records || *this->position < relay.from) return false;
+  TopicUpdate update;
+  update.topic = this->plan.topic;
+  update.at = steady_clock::now();
+  update.is_relayed = true;
+  update.from = *this->position;
+  update.end = relay.end;
+  update.records = std::move(relay.records);
+  this->position = relay.end;
+  this->Report(std::move(update));
+  return this->position.has_value();
+}
+
 bool TopicFollowerThread::ReadOnce(const std::stop_token& stop) {
   const bool is_complete = !this->position;
   auto read =
@@ -75,6 +106,8 @@
     this->Report(std::move(update));
     return false;
   }
+  update.from = this->position.value_or(read->end);
+  update.end = read->end;
   this->position = read->end;
   update.is_complete = is_complete;
   update.records = std::move(read->records);
--- a/lib/operator/gateway_settings.cc
+++ b/lib/operator/gateway_settings.cc
@@ -46,8 +46,8 @@
       json, [](const GatewaySettings& settings, ConfigProblems& problems) {
         if (settings.caller_endpoint.port != 0 &&
             settings.caller_endpoint == settings.readiness_endpoint) {
-          problems.push_back({"readiness_endpoint",
-                              "is already used by caller_endpoint"});
+          problems.push_back(
+              {"readiness_endpoint", "is already used by caller_endpoint"});
         }
       });
 }
--- a/lib/peer/gossip_codec.cc
+++ b/lib/peer/gossip_codec.cc
@@ -78,6 +78,46 @@
       .Union();
 }
 
+Offset<void> Encode(FlatBufferBuilder& builder, const RecordRelay& relay) {
+  std::vector<Offset<gossip::RelayedRecord>> records;
+  if (relay.records) {
+    for (const auto& [key, value] : *relay.records) {
+      const auto name = builder.CreateString(key);
+      flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> bytes;
+      if (value) {
+        bytes = builder.CreateVector(
+            reinterpret_cast<const std::uint8_t*>(value->data()),
+            value->size());
+      }
+      records.push_back(gossip::CreateRelayedRecord(builder, name, bytes));
+    }
+  }
+  return gossip::CreateTopicRelayDirect(
+             builder, relay.topic, relay.from.value, relay.end.value,
+             relay.records.has_value(), &records, relay.wants_read)
+      .Union();
+}
+
+std::optional<Gossip> DecodeRelay(const gossip::Datagram& datagram) {
+  const auto& wire = *datagram.content_as_TopicRelay();
+  RecordRelay relay;
+  relay.topic = wire.topic();
+  relay.from = LogOffset(wire.from());
+  relay.end = LogOffset(wire.end());
+  relay.wants_read = wire.wants_read();
+  if (!wire.has_records()) return relay;
+  relay.records.emplace();
+  if (wire.records() == nullptr) return relay;
+  for (const gossip::RelayedRecord* record : *wire.records()) {
+    std::optional<std::string> value;
+    if (record->value() != nullptr) {
+      value.emplace(record->value()->begin(), record->value()->end());
+    }
+    relay.records->emplace_back(TextOf(record->key()), std::move(value));
+  }
+  return relay;
+}
+
 std::optional<Gossip> DecodeReport(const gossip::Datagram& datagram) {
   const auto& wire = *datagram.content_as_LoadReport();
   LoadReport report;
@@ -144,7 +184,8 @@
 
 constexpr std::array kContents = {
     ContentRow{gossip::Content::LoadReport, &DecodeReport},
-    ContentRow{gossip::Content::LeaderBeat, &DecodeBeat}};
+    ContentRow{gossip::Content::LeaderBeat, &DecodeBeat},
+    ContentRow{gossip::Content::TopicRelay, &DecodeRelay}};
 
 }  // namespace
 
@@ -185,9 +226,8 @@
 
 std::string EncodeGossip(const GossipSource& source, const Gossip& content) {
   FlatBufferBuilder builder;
-  const auto type = std::holds_alternative<LoadReport>(content)
-                        ? gossip::Content::LoadReport
-                        : gossip::Content::LeaderBeat;
+  // The table has the alternatives of `Gossip` in their order.
+  const auto type = kContents.at(content.index()).content;
   const Offset<void> body = std::visit(
       [&builder](const auto& value) { return Encode(builder, value); },
       content);
@@ -208,10 +248,10 @@
     if (datagram.content() == nullptr) return std::nullopt;
     auto content = row.decode(datagram);
     if (!content) return std::nullopt;
-    return ReceivedGossip{{DaemonId(TextOf(datagram.daemon())),
-                           DaemonInstance(TextOf(datagram.instance())),
-                           datagram.sequence()},
-                          std::move(*content)};
+    return ReceivedGossip{
+        {DaemonId(TextOf(datagram.daemon())),
+         DaemonInstance(TextOf(datagram.instance())), datagram.sequence()},
+        std::move(*content)};
   }
   return std::nullopt;
 }
--- a/lib/peer/gossip_thread.cc
+++ b/lib/peer/gossip_thread.cc
@@ -134,6 +134,8 @@
       this->Take(*set);
     } else if (auto* report = std::get_if<LoadReport>(&*message)) {
       this->Broadcast(std::move(*report));
+    } else if (auto* relay = std::get_if<RecordRelay>(&*message)) {
+      this->Broadcast(std::move(*relay));
     } else {
       this->Broadcast(std::move(std::get<LeaderBeat>(*message)));
     }
@@ -157,10 +159,9 @@
 }
 
 void GossipThread::Broadcast(const Gossip& content) {
-  const std::string bytes =
-      EncodeGossip({this->settings.daemon, this->settings.instance,
-                    ++this->sequence},
-                   content);
+  const std::string bytes = EncodeGossip(
+      {this->settings.daemon, this->settings.instance, ++this->sequence},
+      content);
   if (bytes.size() > kMaxDatagram) {
     this->metrics.Count("gossip_too_large");
     return;
--- a/lib/upstream/exchange.cc
+++ b/lib/upstream/exchange.cc
@@ -90,9 +90,10 @@
   }
 
   void Succeed(AnswerHead head, Body body, ResultOutbox& outbox) override {
-    outbox.Add(DispatchResult{
-        this->dispatch.id,
-        this->protocol.DecodeDispatchAnswer(this->dispatch, std::move(head), std::move(body))});
+    outbox.Add(
+        DispatchResult{this->dispatch.id,
+                       this->protocol.DecodeDispatchAnswer(
+                           this->dispatch, std::move(head), std::move(body))});
   }
 
   void Fail(Failure failure, bool was_written, ResultOutbox& outbox) override {
--- a/lib/upstream/ownership_codec.cc
+++ b/lib/upstream/ownership_codec.cc
@@ -96,8 +96,8 @@
     record.instance = DaemonInstance(json->getValue<std::string>("instance"));
     record.change = json->getValue<Poco::UInt64>("change");
     record.is_released = json->getValue<bool>("released");
-    record.leases_left =
-        std::chrono::milliseconds(json->getValue<Poco::Int64>("leases_left_ms"));
+    record.leases_left = std::chrono::milliseconds(
+        json->getValue<Poco::Int64>("leases_left_ms"));
     const Object::Ptr services = json->getObject("services");
     if (services.isNull()) return tl::make_unexpected("no services");
     for (const std::string& name : services->getNames()) {
--- a/lib/upstream/range_keeper.cc
+++ b/lib/upstream/range_keeper.cc
@@ -41,9 +41,9 @@
 
 // Indexed by phase.
 const std::array<RangeKeeper::StepHandler, 6> RangeKeeper::kSteps = {
-    &RangeKeeper::StepFree,      &RangeKeeper::StepHeld,
-    &RangeKeeper::StepSaving,    &RangeKeeper::StepReleasing,
-    &RangeKeeper::StepGranting,  &RangeKeeper::StepExpiring};
+    &RangeKeeper::StepFree,     &RangeKeeper::StepHeld,
+    &RangeKeeper::StepSaving,   &RangeKeeper::StepReleasing,
+    &RangeKeeper::StepGranting, &RangeKeeper::StepExpiring};
 
 MonotonicTime RangeKeeper::LatestLeaseEnd(MonotonicTime now) const {
   return now + LongestHold(this->leases.longest);
@@ -115,7 +115,8 @@
 }
 
 const Endpoint* RangeKeeper::EndpointOf(const UpstreamRun& run) const {
-  if (const RegisteredUpstream* entry = this->Find(run)) return &entry->endpoint;
+  if (const RegisteredUpstream* entry = this->Find(run))
+    return &entry->endpoint;
   const auto found = this->departed.find(run);
   if (found == this->departed.end()) return nullptr;
   return this->step_time < found->second.until ? &found->second.endpoint
@@ -289,8 +290,8 @@
 void RangeKeeper::StepReleasing(const ServiceName& service, Range& range) {
   const bool holder_gone =
       !range.holder || range.holder_released || this->IsReplaced(*range.holder);
-  const bool successor_gone = !range.must_release_successor ||
-                              this->IsReplaced(*range.successor);
+  const bool successor_gone =
+      !range.must_release_successor || this->IsReplaced(*range.successor);
   if (holder_gone && successor_gone) {
     this->LetGo(service, range, "released");
     return;
@@ -361,8 +362,8 @@
                            Phase phase, std::string_view what) {
   range.phase = phase;
   this->has_new_map = true;
-  this->events.push_back({what, service, range.keys, range.holder,
-                          range.successor, range.token});
+  this->events.push_back(
+      {what, service, range.keys, range.holder, range.successor, range.token});
 }
 
 void RangeKeeper::Send(const ServiceName& /*service*/, Range& range,
@@ -381,9 +382,8 @@
   range.call_lease =
       this->in_trouble ? this->leases.longest : this->leases.ordinary;
   range.held_before_call = range.may_hold_until;
-  range.may_hold_until =
-      std::max(range.may_hold_until,
-               this->step_time + LongestHold(range.call_lease));
+  range.may_hold_until = std::max(
+      range.may_hold_until, this->step_time + LongestHold(range.call_lease));
   range.is_extended = this->in_trouble;
   this->Send(service, range, to,
              RangeGrantCall{to.id, range.keys, range.token, range.call_lease,
@@ -393,10 +393,9 @@
 
 void RangeKeeper::OnResult(const ControlResult& result, MonotonicTime now) {
   this->step_time = now;
-  this->NoteReach(result.upstream,
-                  result.answer ||
-                      result.answer.error() == ControlError::kStaleToken,
-                  now);
+  this->NoteReach(
+      result.upstream,
+      result.answer || result.answer.error() == ControlError::kStaleToken, now);
   for (auto& [service, ranges] : this->services) {
     for (Range& range : ranges) {
       if (range.call != result.id) continue;
@@ -441,7 +440,8 @@
   range.next_call = now + kRetryPause;
   range.is_extended = false;
   ++range.failed_attempts;
-  if (error == ControlError::kNotSent || error == ControlError::kOtherInstance ||
+  if (error == ControlError::kNotSent ||
+      error == ControlError::kOtherInstance ||
       error == ControlError::kStaleToken) {
     // The grant was not carried out and will not be.
     range.may_hold_until = range.held_before_call;
@@ -451,8 +451,7 @@
   ++range.unanswered;
 }
 
-void RangeKeeper::OnReleaseResult(Range& range,
-                                  const ControlResult& result,
+void RangeKeeper::OnReleaseResult(Range& range, const ControlResult& result,
                                   MonotonicTime now) {
   const bool has_ended =
       !result.answer && result.answer.error() == ControlError::kOtherInstance;
@@ -495,10 +494,10 @@
     }
   }
   if (holders.empty()) return 0;
-  const auto lost = std::count_if(
-      holders.begin(), holders.end(), [this, now](const UpstreamRun& run) {
-        return this->IsUnreachable(run, now);
-      });
+  const auto lost = std::count_if(holders.begin(), holders.end(),
+                                  [this, now](const UpstreamRun& run) {
+                                    return this->IsUnreachable(run, now);
+                                  });
   return static_cast<double>(lost) / static_cast<double>(holders.size());
 }
 
--- a/lib/upstream/range_leadership.cc
+++ b/lib/upstream/range_leadership.cc
@@ -48,8 +48,7 @@
   if (now < this->next_call) return Wish::kNothing;
   if (now - this->leader_heard < kLeaderSilence) return Wish::kNothing;
   if (this->MayClaim(now)) {
-    this->term =
-        Term(this->observed ? this->observed->term.value + 1 : 1);
+    this->term = Term(this->observed ? this->observed->term.value + 1 : 1);
     this->term = std::max(this->term, Term(this->heard_term.value + 1));
     this->expected_end = *this->observed_end;
     this->predecessor_end = this->expected_end;
@@ -189,6 +188,10 @@
   return this->MaySendOrders(now) && now - this->last_renewal > kTroubleAfter;
 }
 
+bool RangeLeadership::MustExtend(MonotonicTime now) const {
+  return this->MaySendOrders(now) && now - this->last_renewal > kExtendAfter;
+}
+
 std::optional<OwnershipRecord> RangeLeadership::TakePredecessor() {
   return std::exchange(this->predecessor, std::nullopt);
 }
--- a/lib/upstream/range_planner.cc
+++ b/lib/upstream/range_planner.cc
@@ -78,11 +78,11 @@
     if (range == this->ranges.end() || !range->is_settled) return;
     Account* holder = this->AccountOf(*range);
     if (holder == nullptr) return;
-    Account& strongest = *std::max_element(
-        this->accounts.begin(), this->accounts.end(),
-        [](const Account& a, const Account& b) {
-          return a.candidate.capacity < b.candidate.capacity;
-        });
+    Account& strongest =
+        *std::max_element(this->accounts.begin(), this->accounts.end(),
+                          [](const Account& a, const Account& b) {
+                            return a.candidate.capacity < b.candidate.capacity;
+                          });
     const bool is_worth_it = strongest.candidate.capacity >
                              holder->candidate.capacity * kStrongerFactor;
     if (!is_worth_it) return;
@@ -149,8 +149,7 @@
       Account& to = this->NeediestAccount();
       const double room = to.target * kReceiverFactor - to.load;
       if (&to == &donor || room < kLeastExcess / 2) return;
-      const ShardKey last =
-          this->load.Cut(keys, std::min(excess, room));
+      const ShardKey last = this->load.Cut(keys, std::min(excess, room));
       const KeyRange piece{keys.first, last};
       const double weight = this->load.Of(piece);
       // One key that is too hot for its holder is too hot for any other.
@@ -216,8 +215,7 @@
   const auto end = this->sums.begin() + range.last.value + 2;
   const auto above = std::upper_bound(begin, end, limit);
   const auto taken = std::max<std::ptrdiff_t>(above - begin, 1);
-  return ShardKey(
-      static_cast<std::uint16_t>(range.first.value + taken - 1));
+  return ShardKey(static_cast<std::uint16_t>(range.first.value + taken - 1));
 }
 
 std::vector<RangeMove> RangePlanner::Plan(
--- a/lib/upstream/upstream_board.cc
+++ b/lib/upstream/upstream_board.cc
@@ -84,8 +84,7 @@
 
 void UpstreamBoard::OnEnded(const UpstreamId& id, UpstreamOutcome outcome,
                             std::chrono::nanoseconds latency,
-                            std::chrono::nanoseconds usual,
-                            MonotonicTime now) {
+                            std::chrono::nanoseconds usual, MonotonicTime now) {
   const auto found = this->rows.find(id);
   if (found == this->rows.end()) return;
   Row& row = found->second;
@@ -97,8 +96,8 @@
     return;
   }
   const bool failed = outcome != UpstreamOutcome::kAnswered;
-  row.failure_share += ((failed ? 1.0 : 0.0) - row.failure_share) *
-                       kFailureWeight;
+  row.failure_share +=
+      ((failed ? 1.0 : 0.0) - row.failure_share) * kFailureWeight;
   const bool is_loss = outcome == UpstreamOutcome::kLost ||
                        outcome == UpstreamOutcome::kTimedOut;
   if (is_loss) {
@@ -111,19 +110,19 @@
     row.ejected_until = now;
   }
   if (failed) return;
-  row.latency = row.latency.count() == 0
-                    ? latency
-                    : row.latency + std::chrono::duration_cast<
-                                        std::chrono::nanoseconds>(
-                                        (latency - row.latency) * kSpeedWeight);
+  row.latency =
+      row.latency.count() == 0
+          ? latency
+          : row.latency + std::chrono::duration_cast<std::chrono::nanoseconds>(
+                              (latency - row.latency) * kSpeedWeight);
   if (usual.count() <= 0) return;
-  const double ratio = std::clamp(Seconds(latency) / Seconds(usual), kMinRatio,
-                                  kMaxRatio);
+  const double ratio =
+      std::clamp(Seconds(latency) / Seconds(usual), kMinRatio, kMaxRatio);
   row.has_new_ratio = true;
-  row.latency_ratio = row.latency_ratio == 0
-                          ? 1 + (ratio - 1) * kSpeedWeight
-                          : row.latency_ratio +
-                                (ratio - row.latency_ratio) * kSpeedWeight;
+  row.latency_ratio =
+      row.latency_ratio == 0
+          ? 1 + (ratio - 1) * kSpeedWeight
+          : row.latency_ratio + (ratio - row.latency_ratio) * kSpeedWeight;
 }
 
 void UpstreamBoard::LowerLimit(Row& row, MonotonicTime now) {
@@ -132,8 +131,8 @@
   // reason, and fewer requests at once would not change that.
   if (in_hand <= row.entry.slots) return;
   row.limit = std::max<double>(
-      row.entry.slots, std::min(this->LimitOf(row, now), in_hand) *
-                           kLimitBackoff);
+      row.entry.slots,
+      std::min(this->LimitOf(row, now), in_hand) * kLimitBackoff);
   row.limit_updated = now;
 }
 
@@ -168,8 +167,8 @@
 }
 
 double UpstreamBoard::LimitOf(const Row& row, MonotonicTime now) const {
-  const double grown = row.limit + Seconds(now - row.limit_updated) /
-                                       kLimitGrowth;
+  const double grown =
+      row.limit + Seconds(now - row.limit_updated) / kLimitGrowth;
   return std::min(grown, row.entry.slots + kReserve);
 }
 
@@ -220,9 +219,8 @@
 
 std::size_t UpstreamBoard::ActivePeers(MonotonicTime now) const {
   return static_cast<std::size_t>(std::count_if(
-      this->peers.begin(), this->peers.end(), [now](const auto& item) {
-        return now - item.second.at <= kReportAge;
-      }));
+      this->peers.begin(), this->peers.end(),
+      [now](const auto& item) { return now - item.second.at <= kReportAge; }));
 }
 
 double UpstreamBoard::DrawSpread() {
@@ -231,8 +229,8 @@
   this->random_state ^= this->random_state >> 7U;
   this->random_state ^= this->random_state << 17U;
   constexpr double kSteps = 1'024;
-  return 1 + kChoiceSpread *
-                 static_cast<double>(this->random_state % 1'024U) / kSteps;
+  return 1 + kChoiceSpread * static_cast<double>(this->random_state % 1'024U) /
+                 kSteps;
 }
 
 bool UpstreamBoard::IsContended(const UpstreamId& id, MonotonicTime now) const {
--- a/lib/upstream/wait_line.cc
+++ b/lib/upstream/wait_line.cc
@@ -24,8 +24,8 @@
 
 std::optional<WaitTicket> WaitLine::Pop(MonotonicTime now) {
   const bool is_floor_due = this->pops_since_floor + 1 >= kFloorEvery;
-  const Index index = is_floor_due ? this->FindLeastUrgent(now)
-                                   : this->FindNext(now);
+  const Index index =
+      is_floor_due ? this->FindLeastUrgent(now) : this->FindNext(now);
   if (index == kNone) return std::nullopt;
   this->pops_since_floor = is_floor_due ? 0 : this->pops_since_floor + 1;
   const WaitTicket ticket = this->tickets[index];
@@ -104,9 +104,9 @@
   // Before the first answer nothing is known, and nothing is refused for it.
   const double served = this->served_now + this->served_before;
   if (ahead == 0 || served == 0) return nanoseconds(0);
-  const Seconds span = Seconds(kPeriod) +
-                       std::min(Seconds(now - this->period_start),
-                                Seconds(kPeriod));
+  const Seconds span =
+      Seconds(kPeriod) +
+      std::min(Seconds(now - this->period_start), Seconds(kPeriod));
   const double rate = served / span.count();
   return std::chrono::duration_cast<nanoseconds>(
       Seconds(static_cast<double>(ahead) / rate));
--- a/unittests/upstream/range_world.h
+++ b/unittests/upstream/range_world.h
@@ -136,7 +136,8 @@
     while (this->now < end) {
       this->now += std::chrono::milliseconds(50);
       if (saves_record) this->saved = this->keeper->Change();
-      this->Deliver(this->keeper->Step(this->saved, this->in_trouble, this->now));
+      this->Deliver(
+          this->keeper->Step(this->saved, this->in_trouble, this->now));
     }
   }
 
@@ -196,9 +197,8 @@
   }
 
   void Move(std::uint16_t first, std::uint16_t last, const std::string& to) {
-    this->keeper->Move(kService,
-                       {{ShardKey(first), ShardKey(last)},
-                        {UpstreamId(to), UpstreamLife(1)}});
+    this->keeper->Move(kService, {{ShardKey(first), ShardKey(last)},
+                                  {UpstreamId(to), UpstreamLife(1)}});
   }
 
   std::size_t CountSent(std::size_t request_index) const {
