upstream: send no order after its mandate has ended

Change: range calls carry the end of the mandate, and nothing is written after it. Tests for this and for the reset of abandoned exchanges.

--- a/include/bamboorack/upstream/messages.h
+++ b/include/bamboorack/upstream/messages.h
@@ -100,6 +100,8 @@
   Endpoint endpoint;
   MonotonicTime deadline;
   ControlRequest request;
+  /// Nothing is written after this time, such as the end of a mandate.
+  MonotonicTime send_before = MonotonicTime::max();
 };
 
 /// The upstream's answer to `ClockCall`.
--- a/include/bamboorack/upstream/range_leadership.h
+++ b/include/bamboorack/upstream/range_leadership.h
@@ -78,6 +78,7 @@
   LogOffset ExpectedEnd() const { return this->expected_end; }
   /// Set for one call after the daemon became leader: the record it took over.
   std::optional<OwnershipRecord> TakePredecessor();
+  MonotonicTime MandateUntil() const { return this->mandate_until; }
   /// When the last renewal that took effect was sent.
   MonotonicTime LastRenewal() const { return this->last_renewal; }
 
--- a/lib/daemon/ownership_duty.cc
+++ b/lib/daemon/ownership_duty.cc
@@ -460,6 +460,9 @@
            this->saved_change,
            this->leadership.MustExtend(this->now) && this->IsCommonOutage(),
            this->now)) {
+    // A successor may send orders soon after the mandate has ended, so this
+    // one must not wait for a connection until then.
+    call.send_before = this->leadership.MandateUntil();
     this->actions.emplace_back(std::move(call));
   }
   this->LogRangeEvents();
--- a/lib/upstream/exchange.cc
+++ b/lib/upstream/exchange.cc
@@ -1,5 +1,6 @@
 #include "bamboorack/upstream/exchange.h"
 
+#include <algorithm>
 #include <array>
 #include <string_view>
 #include <utility>
@@ -130,7 +131,9 @@
     return this->protocol.EncodeControl(this->call.request,
                                         this->call.endpoint);
   }
-  MonotonicTime SendBefore() const override { return this->call.deadline; }
+  MonotonicTime SendBefore() const override {
+    return std::min(this->call.send_before, this->call.deadline);
+  }
   MonotonicTime Deadline() const override { return this->call.deadline; }
 
   void Succeed(AnswerHead head, Body body, ResultOutbox& outbox) override {
--- a/unittests/peer/gossip_test.cc
+++ b/unittests/peer/gossip_thread_test.cc
@@ -1,3 +1,5 @@
+#include "bamboorack/peer/gossip_thread.h"
+
 #include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/SocketAddress.h>
 
@@ -8,7 +10,6 @@
 #include <variant>
 
 #include "bamboorack/peer/gossip_codec.h"
-#include "bamboorack/peer/gossip_thread.h"
 
 namespace bamboorack::peer {
 namespace {
--- a/unittests/support/raw_peer.h
+++ b/unittests/support/raw_peer.h
@@ -2,6 +2,7 @@
 #define BAMBOORACK_UNITTESTS_SUPPORT_RAW_PEER_H_
 
 #include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
@@ -79,6 +80,16 @@
   /// Returns whether the peer ends the connection before sending more.
   bool IsClosedByPeer() { return !this->Receive() && this->input.empty(); }
 
+  /// Returns whether the peer ends the connection by a reset.
+  bool IsResetByPeer() {
+    char byte = 0;
+    try {
+      return this->socket.receiveBytes(&byte, 1) < 0;
+    } catch (const Poco::Net::ConnectionResetException&) {
+      return true;
+    }
+  }
+
   void Close() { this->socket.close(); }
 
  private:
--- a/unittests/upstream/upstream_thread_test.cc
+++ b/unittests/upstream/upstream_thread_test.cc
@@ -95,6 +95,32 @@
   std::unique_ptr<UpstreamThread> thread;
 };
 
+SCENARIO("an order is sent after its sender's mandate has ended") {
+  Fixture fixture;
+  ControlCall call = fixture.MakeCall(
+      1, RangeGrantCall{UpstreamId("u"), {}, FencingToken(1), {}, {}});
+  call.send_before = steady_clock::now() - milliseconds(1);
+  fixture.Push(call);
+  const auto result = fixture.to_control.PopUntil(Soon());
+  REQUIRE(result.has_value());
+  CHECK(result->answer.error() == ControlError::kNotSent);
+}
+
+SCENARIO("bytes arrive after the sender has given the exchange up") {
+  Fixture fixture;
+  ControlCall call = fixture.MakeCall(
+      1, RangeGrantCall{UpstreamId("u"), {}, FencingToken(1), {}, {}});
+  call.deadline = steady_clock::now() + milliseconds(150);
+  fixture.Push(call);
+  RawPeer upstream = fixture.Accept();
+  upstream.ReadMessage();
+  const auto result = fixture.to_control.PopUntil(Soon());
+  REQUIRE(result.has_value());
+  CHECK(result->answer.error() == ControlError::kUnreachable);
+  // A close in good order would deliver what a partition holds up.
+  CHECK(upstream.IsResetByPeer());
+}
+
 SCENARIO("a request gets no answer or the answer to another request") {
   Fixture fixture;
   fixture.Push(fixture.MakeDispatch(1, "body"));
