--- /dev/null
+++ b/tools/fakes/platform_upstream/main.cc
@@ -0,0 +1,34 @@
+#include <CLI/CLI.hpp>
+#include <cstdint>
+#include <iostream>
+#include <utility>
+
+#include "fakes/common/http_fake.h"
+#include "fakes/platform_upstream/platform_upstream.h"
+
+/// Serves until SIGTERM or SIGINT. Decisions go to standard output.
+int main(int argc, char** argv) {
+  CLI::App app("stand-in for an upstream of the platform");
+  bamboorack::fakes::PlatformUpstreamSettings settings;
+  std::uint16_t port = 0;
+  std::uint64_t work_ms = 20;
+  app.add_option("--id", settings.id, "id in the registry")->required();
+  app.add_option("--service", settings.service)->required();
+  app.add_option("--zone", settings.zone)->required();
+  app.add_option("--store-port", settings.store_port)->required();
+  app.add_option("--port", port, "port on loopback, 0 for a free one");
+  app.add_option("--advertise", settings.advertised_port,
+                 "port to register, if a proxy stands before this one");
+  app.add_option("--slots", settings.slots);
+  app.add_option("--work-ms", work_ms);
+  app.add_flag("--sharded", settings.is_sharded);
+  CLI11_PARSE(app, argc, argv);
+  settings.work = std::chrono::milliseconds(work_ms);
+  bamboorack::fakes::BlockStopSignals();
+  bamboorack::fakes::PlatformUpstream upstream(std::move(settings), std::cout);
+  upstream.Start(port);
+  bamboorack::fakes::PrintPort(upstream.Port());
+  bamboorack::fakes::WaitForStopSignal();
+  upstream.Stop();
+  return 0;
+}
--- /dev/null
+++ b/tools/fakes/platform_upstream/platform_upstream.cc
@@ -0,0 +1,280 @@
+#include "fakes/platform_upstream/platform_upstream.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <algorithm>
+#include <sstream>
+
+#include "bamboorack/core/http_client.h"
+#include "bamboorack/core/stoppable_wait.h"
+#include "fakes/common/http_fake.h"
+
+namespace bamboorack::fakes {
+namespace {
+
+using Poco::JSON::Object;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kHeartbeat{400};
+constexpr milliseconds kStoreLimit{1'000};
+constexpr int kThreads = 48;
+
+class Handler : public Poco::Net::HTTPRequestHandler {
+ public:
+  explicit Handler(PlatformUpstream& fake) : upstream(fake) {}
+  void handleRequest(HTTPServerRequest& request,
+                     HTTPServerResponse& response) override {
+    this->upstream.Handle(request, response);
+  }
+
+ private:
+  PlatformUpstream& upstream;
+};
+
+class Factory : public Poco::Net::HTTPRequestHandlerFactory {
+ public:
+  explicit Factory(PlatformUpstream& fake) : upstream(fake) {}
+  Poco::Net::HTTPRequestHandler* createRequestHandler(
+      const HTTPServerRequest& /*request*/) override {
+    return new Handler(this->upstream);
+  }
+
+ private:
+  PlatformUpstream& upstream;
+};
+
+std::string Nanoseconds(steady_clock::time_point time) {
+  return std::to_string(time.time_since_epoch().count());
+}
+
+milliseconds ParseMilliseconds(const std::string& text) {
+  return milliseconds(std::stoll(text));
+}
+
+void Refuse(HTTPServerResponse& response, int status) {
+  response.set("X-Not-Executed", "1");
+  SendJson(response, status, "{}");
+}
+
+}  // namespace
+
+PlatformUpstream::PlatformUpstream(PlatformUpstreamSettings upstream_settings,
+                                   std::ostream& events)
+    : settings(std::move(upstream_settings)),
+      out(events),
+      born(std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+               .count()) {}
+
+PlatformUpstream::~PlatformUpstream() { this->Stop(); }
+
+void PlatformUpstream::Start(std::uint16_t port) {
+  Poco::Net::ServerSocket socket;
+  socket.bind(Poco::Net::SocketAddress("127.0.0.1", port), true, false);
+  socket.listen(kThreads);
+  Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+  params->setMaxThreads(kThreads);
+  params->setMaxQueued(kThreads);
+  static Poco::ThreadPool pool(4, kThreads);
+  this->server = std::make_unique<Poco::Net::HTTPServer>(new Factory(*this),
+                                                         pool, socket, params);
+  this->server->start();
+  this->beat_thread =
+      std::jthread([this](const std::stop_token& stop) { this->Beat(stop); });
+}
+
+void PlatformUpstream::Stop() {
+  if (this->server == nullptr) return;
+  this->beat_thread.request_stop();
+  this->beat_thread.join();
+  this->server->stopAll(true);
+  this->server.reset();
+}
+
+std::uint16_t PlatformUpstream::Port() const { return this->server->port(); }
+
+void PlatformUpstream::Write(const std::string& line) {
+  this->out << line << std::endl;
+}
+
+void PlatformUpstream::Beat(const std::stop_token& stop) {
+  do {
+    this->Register(false);
+  } while (WaitUntil(stop, steady_clock::now() + kHeartbeat));
+}
+
+void PlatformUpstream::Register(bool is_draining) {
+  const std::uint16_t port = this->settings.advertised_port != 0
+                                 ? this->settings.advertised_port
+                                 : this->Port();
+  std::ostringstream value;
+  value << R"({"address":"127.0.0.1:)" << port << R"(","born":)" << this->born
+        << R"(,"info":{"service":")" << this->settings.service
+        << R"(","version":"v1","zone":")" << this->settings.zone
+        << R"(","slots":)" << this->settings.slots << R"(},"status":{"state":")"
+        << (is_draining ? "draining" : "ready") << R"(","seq":)"
+        << ++this->beats << R"(,"warmup_left":"0ms"}})";
+  std::string content(1, static_cast<char>(this->settings.id.size()));
+  content += this->settings.id + value.str();
+  std::string body;
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    body.push_back(static_cast<char>((content.size() >> shift) & 0xFFU));
+  }
+  body += content;
+  HttpClient store({"127.0.0.1", this->settings.store_port}, kStoreLimit);
+  // A beat that is lost is followed by the next one.
+  store.Call({"POST", "/-/log-append?topic=keyed.servers&part=0", body},
+             steady_clock::now() + kStoreLimit, {});
+}
+
+void PlatformUpstream::Handle(HTTPServerRequest& request,
+                              HTTPServerResponse& response) {
+  const Time arrived = steady_clock::now();
+  const std::string expected = request.get("X-Expect-Instance", "");
+  if (!expected.empty() && expected != this->settings.id) {
+    response.set("X-Instance-Id", this->settings.id);
+    SendJson(response, 421, "{}");
+    return;
+  }
+  if (request.getURI() == "/-/grant") {
+    SendJson(response, this->Grant(ReadBody(request), arrived), "{}");
+    return;
+  }
+  if (request.getURI() == "/-/release") {
+    response.set("X-Handover", this->Release(ReadBody(request)));
+    SendJson(response, 200, "{}");
+    return;
+  }
+  this->Run(request, response);
+}
+
+int PlatformUpstream::Grant(const std::string& body, Time arrived) {
+  Poco::JSON::Parser parser;
+  const auto json = parser.parse(body).extract<Object::Ptr>();
+  Hold hold;
+  hold.first = json->getValue<std::uint32_t>("from");
+  hold.last = json->getValue<std::uint32_t>("to");
+  hold.token = json->getValue<std::uint64_t>("fence");
+  hold.until =
+      arrived + ParseMilliseconds(json->getValue<std::string>("hold_time"));
+  const std::lock_guard lock(this->mutex);
+  for (const auto& [keys, token] : this->seen) {
+    const bool overlaps = keys.first <= hold.last && hold.first <= keys.second;
+    if (overlaps && hold.token < token) return 409;
+  }
+  std::erase_if(this->seen, [&hold](const auto& row) {
+    return hold.first <= row.first.first && row.first.second <= hold.last;
+  });
+  this->seen.push_back({{hold.first, hold.last}, hold.token});
+  this->CutLocked(hold.first, hold.last);
+  this->holds.push_back(hold);
+  this->Write("{\"event\":\"grant\",\"at\":" + Nanoseconds(arrived) +
+              ",\"first\":" + std::to_string(hold.first) +
+              ",\"last\":" + std::to_string(hold.last) +
+              ",\"token\":" + std::to_string(hold.token) +
+              ",\"until\":" + Nanoseconds(hold.until) + "}");
+  return 200;
+}
+
+std::string PlatformUpstream::Release(const std::string& body) {
+  Poco::JSON::Parser parser;
+  const auto json = parser.parse(body).extract<Object::Ptr>();
+  const auto first = json->getValue<std::uint32_t>("from");
+  const auto last = json->getValue<std::uint32_t>("to");
+  {
+    const std::lock_guard lock(this->mutex);
+    this->CutLocked(first, last);
+    this->Write(
+        "{\"event\":\"release\",\"at\":" + Nanoseconds(steady_clock::now()) +
+        ",\"first\":" + std::to_string(first) +
+        ",\"last\":" + std::to_string(last) + "}");
+  }
+  // The answer waits until the work on the keys has ended.
+  while (true) {
+    {
+      const std::lock_guard lock(this->mutex);
+      const auto run = this->running.lower_bound(first);
+      if (run == this->running.end() || run->first > last) break;
+    }
+    std::this_thread::sleep_for(milliseconds(2));
+  }
+  return this->settings.id + "-" + std::to_string(++this->handovers);
+}
+
+void PlatformUpstream::CutLocked(std::uint32_t first, std::uint32_t last) {
+  std::vector<Hold> kept;
+  for (const Hold& hold : this->holds) {
+    if (last < hold.first || hold.last < first) {
+      kept.push_back(hold);
+      continue;
+    }
+    Hold part = hold;
+    if (hold.first < first) {
+      part.last = first - 1;
+      kept.push_back(part);
+    }
+    part = hold;
+    if (last < hold.last) {
+      part.first = last + 1;
+      kept.push_back(part);
+    }
+  }
+  this->holds = std::move(kept);
+}
+
+bool PlatformUpstream::HoldsLocked(std::uint32_t key) const {
+  const Time now = steady_clock::now();
+  return std::any_of(
+      this->holds.begin(), this->holds.end(), [key, now](const Hold& hold) {
+        return hold.first <= key && key <= hold.last && now < hold.until;
+      });
+}
+
+void PlatformUpstream::Run(HTTPServerRequest& request,
+                           HTTPServerResponse& response) {
+  const std::string body = ReadBody(request);
+  const std::string id = request.get("X-Request-Id", "");
+  const std::string key_text = request.get("X-Shard-Key", "0");
+  const auto key = static_cast<std::uint32_t>(std::stoul(key_text));
+  response.set("X-Request-Id", id);
+  {
+    const std::lock_guard lock(this->mutex);
+    if (this->settings.is_sharded && !this->HoldsLocked(key)) {
+      return Refuse(response, 421);
+    }
+    if (this->busy >= this->settings.slots * 3) return Refuse(response, 503);
+    ++this->busy;
+    this->running.emplace(key, id);
+    this->Write(
+        "{\"event\":\"run\",\"at\":" + Nanoseconds(steady_clock::now()) +
+        ",\"id\":\"" + id + "\",\"method\":\"" + request.getMethod() +
+        "\",\"key\":" + std::to_string(key) +
+        ",\"body\":" + std::to_string(body.size()) + "}");
+  }
+  std::this_thread::sleep_for(this->settings.work);
+  {
+    const std::lock_guard lock(this->mutex);
+    --this->busy;
+    const auto runs = this->running.equal_range(key);
+    this->running.erase(
+        std::find_if(runs.first, runs.second,
+                     [&id](const auto& run) { return run.second == id; }));
+  }
+  response.set("X-Server-Stamp", this->settings.id + "." + id);
+  SendJson(response, 200, "{\"id\":\"" + id + "\"}");
+}
+
+}  // namespace bamboorack::fakes
--- /dev/null
+++ b/tools/fakes/platform_upstream/platform_upstream.h
@@ -0,0 +1,94 @@
+#ifndef BAMBOORACK_TOOLS_FAKES_PLATFORM_UPSTREAM_PLATFORM_UPSTREAM_H_
+#define BAMBOORACK_TOOLS_FAKES_PLATFORM_UPSTREAM_PLATFORM_UPSTREAM_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <ostream>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace Poco::Net {
+class HTTPServer;
+class HTTPServerRequest;
+class HTTPServerResponse;
+}  // namespace Poco::Net
+
+namespace bamboorack::fakes {
+
+struct PlatformUpstreamSettings {
+  std::string id;
+  std::string service;
+  std::string zone;
+  /// Whether requests need a key that was granted.
+  bool is_sharded = false;
+  std::uint32_t slots = 4;
+  std::chrono::milliseconds work{20};
+  std::uint16_t store_port = 0;
+  /// The address that is registered; the own one if 0. A proxy may stand
+  /// before it.
+  std::uint16_t advertised_port = 0;
+};
+
+/// A stand-in for an upstream of the platform: registers itself, takes grants
+/// and releases, checks tokens, and runs requests for keys that it holds.
+/// Writes each decision as a JSON line, with a steady time that all processes
+/// of a machine share.
+class PlatformUpstream {
+ public:
+  PlatformUpstream(PlatformUpstreamSettings upstream_settings,
+                   std::ostream& events);
+  ~PlatformUpstream();
+  PlatformUpstream(const PlatformUpstream&) = delete;
+  PlatformUpstream& operator=(const PlatformUpstream&) = delete;
+
+  void Start(std::uint16_t port);
+  void Stop();
+  std::uint16_t Port() const;
+
+  void Handle(Poco::Net::HTTPServerRequest& request,
+              Poco::Net::HTTPServerResponse& response);
+
+ private:
+  using Time = std::chrono::steady_clock::time_point;
+
+  struct Hold {
+    std::uint32_t first = 0;
+    std::uint32_t last = 0;
+    std::uint64_t token = 0;
+    Time until;
+  };
+
+  int Grant(const std::string& body, Time arrived);
+  std::string Release(const std::string& body);
+  void CutLocked(std::uint32_t first, std::uint32_t last);
+  bool HoldsLocked(std::uint32_t key) const;
+  void Run(Poco::Net::HTTPServerRequest& request,
+           Poco::Net::HTTPServerResponse& response);
+  void Register(bool is_draining);
+  void Beat(const std::stop_token& stop);
+  void Write(const std::string& line);
+
+  const PlatformUpstreamSettings settings;
+  std::ostream& out;
+  std::mutex mutex;
+  std::vector<Hold> holds;
+  std::vector<std::pair<std::pair<std::uint32_t, std::uint32_t>, std::uint64_t>>
+      seen;
+  /// Requests that run now, by their key.
+  std::multimap<std::uint32_t, std::string> running;
+  std::uint32_t busy = 0;
+  std::uint64_t beats = 0;
+  std::uint64_t handovers = 0;
+  std::int64_t born = 0;
+  std::unique_ptr<Poco::Net::HTTPServer> server;
+  std::jthread beat_thread;
+};
+
+}  // namespace bamboorack::fakes
+
+#endif  // BAMBOORACK_TOOLS_FAKES_PLATFORM_UPSTREAM_PLATFORM_UPSTREAM_H_
--- /dev/null
+++ b/tools/soak/tcp_proxy.cc
@@ -0,0 +1,123 @@
+#include "soak/tcp_proxy.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Timespan.h>
+
+#include <array>
+#include <chrono>
+
+namespace bamboorack::soak {
+namespace {
+
+using Poco::Net::StreamSocket;
+
+constexpr std::chrono::milliseconds kDelay{150};
+const Poco::Timespan kPollTime(0, 100'000);
+
+void ResetQuietly(StreamSocket& socket) {
+  try {
+    socket.setLinger(true, 0);
+    socket.shutdown();
+  } catch (const Poco::Exception&) {
+    // Already closed.
+    return;
+  }
+}
+
+}  // namespace
+
+TcpProxy::TcpProxy() {
+  this->listener.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true, false);
+  this->listener.listen(256);
+  this->thread =
+      std::jthread([this](const std::stop_token& stop) { this->Accept(stop); });
+}
+
+TcpProxy::~TcpProxy() {
+  this->thread.request_stop();
+  this->thread.join();
+  for (auto& link : this->links) {
+    link->to_server.request_stop();
+    link->to_client.request_stop();
+  }
+}
+
+std::uint16_t TcpProxy::Port() const { return this->listener.address().port(); }
+
+void TcpProxy::SetFault(LinkFault new_fault) {
+  this->fault = new_fault;
+  if (new_fault != LinkFault::kReset) return;
+  const std::lock_guard lock(this->mutex);
+  for (auto& link : this->links) {
+    ResetQuietly(link->client);
+    ResetQuietly(link->server);
+  }
+}
+
+void TcpProxy::Accept(const std::stop_token& stop) {
+  while (!stop.stop_requested()) {
+    if (!this->listener.poll(kPollTime, Poco::Net::Socket::SELECT_READ)) {
+      continue;
+    }
+    auto link = std::make_unique<Link>();
+    try {
+      link->client = this->listener.acceptConnection();
+      if (this->fault == LinkFault::kReset) {
+        ResetQuietly(link->client);
+        continue;
+      }
+      link->server.connect(
+          Poco::Net::SocketAddress("127.0.0.1", this->target.load()),
+          Poco::Timespan(0, 300'000));
+      link->client.setNoDelay(true);
+      link->server.setNoDelay(true);
+    } catch (const Poco::Exception&) {
+      ResetQuietly(link->client);
+      continue;
+    }
+    Link& started = *link;
+    started.to_server = std::jthread([this, &started](const auto& token) {
+      this->Pump(started, true, token);
+    });
+    started.to_client = std::jthread([this, &started](const auto& token) {
+      this->Pump(started, false, token);
+    });
+    const std::lock_guard lock(this->mutex);
+    this->links.push_back(std::move(link));
+  }
+}
+
+bool TcpProxy::Swallows(bool is_to_server) const {
+  const LinkFault active = this->fault.load();
+  return active == LinkFault::kSilent ||
+         (active == LinkFault::kCutToServer && is_to_server) ||
+         (active == LinkFault::kCutToClient && !is_to_server);
+}
+
+void TcpProxy::Pump(Link& link, bool is_to_server,
+                    const std::stop_token& stop) {
+  StreamSocket& from = is_to_server ? link.client : link.server;
+  StreamSocket& to = is_to_server ? link.server : link.client;
+  std::array<char, 16'384> buffer{};
+  try {
+    while (!stop.stop_requested()) {
+      if (!from.poll(kPollTime, Poco::Net::Socket::SELECT_READ)) continue;
+      const int received =
+          from.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+      if (received <= 0) {
+        if (!link.is_silent) to.shutdownSend();
+        return;
+      }
+      if (this->fault == LinkFault::kDelay) std::this_thread::sleep_for(kDelay);
+      if (this->Swallows(is_to_server)) link.is_silent = true;
+      if (link.is_silent) continue;
+      to.sendBytes(buffer.data(), received);
+    }
+  } catch (const Poco::Exception&) {
+    ResetQuietly(link.client);
+    ResetQuietly(link.server);
+  }
+}
+
+}  // namespace bamboorack::soak
