--- a/tools/bamboorack/command.h
+++ b/tools/bamboorack/command.h
@@ -10,7 +10,7 @@
 
 namespace bamboorack::tools {
 
-/// The exit codes of the command line tool; `docs/operations.md` lists them.
+/// The exit codes of the command line tool; `docs/OPERATIONS.md` lists them.
 enum class ExitCode : int {
   kOk = 0,
   /// The log refused the change, or it was not in force in time.
--- a/unittests/operator/documents_test.cc
+++ b/unittests/operator/documents_test.cc
@@ -10,7 +10,7 @@
 namespace {
 
 SCENARIO("an operator meets a refusal that the operations page does not name") {
-  std::ifstream file(std::string(BAMBOORACK_DOCS) + "/operations.md");
+  std::ifstream file(std::string(BAMBOORACK_DOCS) + "/OPERATIONS.md");
   const std::string page{std::istreambuf_iterator<char>(file), {}};
   for (const ReasonInfo& info : kReasons) {
     const std::string row = "| `" + std::string(info.name) + "` | " +
