daemon: take a lapsed leader's word, show daemons without requests to the leader

Ruled out: a slow start (the joined processes listen within 20 ms and know the desired state after 0.2 s). Change: a statement for the newest record lets the successor claim at once; each daemon reports at least every 700 ms; a daemon that hears no leader takes the owners from the record.

--- a/include/bamboorack/daemon/gateway_router.h
+++ b/include/bamboorack/daemon/gateway_router.h
@@ -152,6 +152,7 @@
   MonotonicTime next_check;
   MonotonicTime next_report;
   bool reported_load = false;
+  MonotonicTime next_sign;
 
   // Valid during one call.
   MonotonicTime now;
--- a/include/bamboorack/daemon/ownership_duty.h
+++ b/include/bamboorack/daemon/ownership_duty.h
@@ -112,6 +112,9 @@
   double SpeedOf(const UpstreamId& id) const;
   void PublishOwners();
   void ApplyHeardOwners();
+  /// Takes the owners of a record that is newer than what was heard, for a
+  /// daemon that does not hear its leader.
+  void ApplyRecordedOwners(const upstream::OwnershipRecord& record);
   void SendBeat();
   void PublishTables();
   void LogRangeEvents();
--- a/include/bamboorack/upstream/range_leadership.h
+++ b/include/bamboorack/upstream/range_leadership.h
@@ -16,7 +16,7 @@
 ///
 /// A leader may send orders only within its mandate. A successor claims when
 /// it has seen no new record for `kTakeoverWait`, which is longer, or when the
-/// record tells that the leader has gone.
+/// record or the former leader itself tells that the mandate has ended.
 class RangeLeadership {
  public:
   /// Covers a renewal that fails on a log that answers in 250 ms.
@@ -57,6 +57,9 @@
   void OnLeaderHeard(Term term, MonotonicTime now);
   /// The leader of `term` has given its duty up.
   void OnLeaderResigned(Term leader_term, MonotonicTime now);
+  /// The leader whose record ends the log at `end` has told that its mandate has
+  /// ended. It sends no orders before a renewal, which would move the end.
+  void OnLapseStated(LogOffset end) { this->lapsed_end = end; }
   /// The process stood still: its mandate may have passed unnoticed.
   void OnSuspended(MonotonicTime now);
   /// Sends no more orders until the next renewal. Called before a record is
@@ -104,6 +107,7 @@
   std::optional<OwnershipRecord> observed;
   std::optional<LogOffset> observed_end;
   MonotonicTime observed_since;
+  std::optional<LogOffset> lapsed_end;
   bool may_have_claimed = false;
   MonotonicTime claim_sent;
   MonotonicTime not_before;
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -35,6 +35,7 @@
 // often, so that the messages of one daemon do not grow with their square.
 constexpr std::size_t kPeersAtFullPace = 13;
 constexpr std::chrono::seconds kPeerMemory{3};
+constexpr milliseconds kSignEvery{700};
 constexpr double kLatencyWeight = 0.05;
 constexpr nanoseconds kFirstLatency = milliseconds(120);
 
@@ -581,8 +582,11 @@
                                       this->now - this->tables.upstreams_read));
   }
   const bool has_load = !report.upstreams.empty() || !report.demands.empty();
-  if (!has_load && !this->reported_load) return;
+  // A daemon without requests still shows that it is there, so that the leader
+  // sends it the owners.
+  if (!has_load && !this->reported_load && this->now < this->next_sign) return;
   this->reported_load = has_load;
+  this->next_sign = this->now + kSignEvery;
   this->actions.emplace_back(std::move(report));
 }
 
--- a/lib/daemon/ownership_duty.cc
+++ b/lib/daemon/ownership_duty.cc
@@ -287,11 +287,29 @@
     }
     record = std::move(*decoded);
   }
+  if (record) this->ApplyRecordedOwners(*record);
   this->newest_record = record;
   this->newest_read = this->now;
   this->leadership.OnRead(record, read->end, this->now);
 }
 
+void OwnershipDuty::ApplyRecordedOwners(
+    const upstream::OwnershipRecord& record) {
+  // Change 0 is below every map that the leader of the term sends.
+  const OwnerMapVersion version{record.term, 0};
+  if (this->tables.owners && this->tables.owners->version >= version) return;
+  OwnerMap map{version, {}};
+  for (const auto& [service, rows] : record.services) {
+    std::vector<OwnedRange>& ranges = map.services[service];
+    for (const upstream::RecordedRange& row : rows) {
+      ranges.push_back(
+          {row.range, row.successor ? std::nullopt : row.holder});
+    }
+  }
+  this->tables.owners = std::make_shared<const OwnerMap>(std::move(map));
+  this->has_new_tables = true;
+}
+
 void OwnershipDuty::OnOwnershipAppended(const AppendOutcome& appended,
                                         MonotonicTime sent) {
   if (!appended) {
@@ -376,6 +394,7 @@
   if (beat.lapsed) {
     this->statement = beat.lapsed;
     this->statement_end = this->now + beat.lapsed->leases_left;
+    this->leadership.OnLapseStated(beat.lapsed->log_end);
     this->leadership.OnLeaderResigned(beat.version.term, this->now);
     return;
   }
--- a/lib/upstream/range_leadership.cc
+++ b/lib/upstream/range_leadership.cc
@@ -63,6 +63,7 @@
   // The process that led from here has ended, since this one runs in its
   // place.
   if (this->observed->leader == this->self) return true;
+  if (this->lapsed_end == this->observed_end) return true;
   return now - this->observed_since >= kTakeoverWait;
 }
 
--- a/unittests/daemon/gateway_router_test.cc
+++ b/unittests/daemon/gateway_router_test.cc
@@ -325,6 +325,13 @@
   CHECK(refused_on_arrival > 100);
 }
 
+SCENARIO("a new daemon without requests is not heard, so it learns no owners") {
+  Fixture fixture;
+  fixture.Wait(seconds(3));
+  CHECK(fixture.reports.size() >= 3);
+  CHECK(fixture.reports.size() <= 6);
+}
+
 SCENARIO("other daemons do not see what this one has in hand") {
   Fixture fixture;
   fixture.Publish();
--- /dev/null
+++ b/unittests/daemon/ownership_duty_test.cc
@@ -0,0 +1,250 @@
+#include "bamboorack/daemon/ownership_duty.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "bamboorack/core/metrics.h"
+#include "bamboorack/upstream/ownership_codec.h"
+
+namespace bamboorack::daemon {
+namespace {
+
+using log_service::KeyedAppend;
+using log_service::KeyedRecord;
+using log_service::KeyedRecords;
+using log_service::StoreCall;
+using log_service::StoreResult;
+using log_service::Topic;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Documents in a form that the test writes: `SERVICE` for an upstream's
+/// entry, `VERSION` for a desired state with one sharded service.
+class TestDocuments : public log_service::StateDocuments {
+ public:
+  std::string DesiredStateKey() const override { return "state"; }
+  tl::expected<DesiredState, std::string> ReadDesiredState(
+      const std::string& text) const override {
+    if (text == "bad") return tl::make_unexpected(std::string("bad"));
+    DesiredState state;
+    state.version = ConfigVersion(std::stoull(text));
+    state.services = {{ServiceName("reader"), 100, true}};
+    return state;
+  }
+  tl::expected<RegisteredUpstream, std::string> ReadUpstream(
+      const std::string& key, const std::string& text) const override {
+    if (text == "bad") return tl::make_unexpected(std::string("bad"));
+    RegisteredUpstream entry;
+    entry.run = {UpstreamId(key), UpstreamLife(1)};
+    entry.service = ServiceName(text);
+    entry.endpoint = {"10.0.0.1", 80};
+    entry.slots = 4;
+    return entry;
+  }
+};
+
+/// One daemon's duty; the log and the other daemons are the test.
+struct Fixture {
+  void Take(DutyActions actions) {
+    for (DutyAction& action : actions) {
+      if (auto* call = std::get_if<StoreCall>(&action)) {
+        this->store_calls.push_back(std::move(*call));
+      }
+      if (auto* tables_now = std::get_if<GatewayTables>(&action)) {
+        this->tables = *tables_now;
+      }
+      if (auto* call = std::get_if<upstream::ControlCall>(&action)) {
+        this->orders.push_back(*call);
+      }
+      if (auto* message = std::get_if<peer::ToGossip>(&action)) {
+        this->gossip.push_back(std::move(*message));
+      }
+      if (auto* event = std::get_if<BeliefEvent>(&action)) {
+        this->events.push_back(std::move(*event));
+      }
+      if (auto* relay = std::get_if<log_service::TopicRelay>(&action)) {
+        this->relays.push_back(std::move(*relay));
+      }
+    }
+  }
+
+  void Update(Topic topic, std::vector<KeyedRecord> records,
+              bool is_complete = true) {
+    log_service::TopicUpdate update;
+    update.topic = topic;
+    update.at = this->now;
+    update.is_complete = is_complete;
+    update.end = LogOffset(7);
+    update.records = std::move(records);
+    this->Take(this->duty.OnTopic(std::move(update), this->now));
+  }
+
+  void Answer(const StoreCall& call) {
+    StoreResult result;
+    result.sent = this->now;
+    if (const auto* read =
+            std::get_if<log_service::ReadTopic>(&call.request)) {
+      result.topic = read->topic;
+      KeyedRecords all;
+      if (read->topic == Topic::kOwnership) {
+        all.end = this->log_end;
+        if (this->record) all.records.push_back({"owners", *this->record});
+      }
+      result.outcome =
+          tl::expected<KeyedRecords, log_service::ReadFailure>(all);
+    } else {
+      const auto& append = std::get<KeyedAppend>(call.request);
+      result.topic = append.topic;
+      if (append.topic == Topic::kOwnership) {
+        this->record = append.record.value;
+        ++this->log_end.value;
+      }
+      result.outcome =
+          tl::expected<LogOffset, log_service::KeyedAppendFailure>(
+              this->log_end);
+    }
+    this->Take(this->duty.OnStore(std::move(result), this->now));
+  }
+
+  /// Lets time pass; the log answers at once, upstreams accept everything.
+  void Run(milliseconds span, bool log_answers = true) {
+    const MonotonicTime end = this->now + span;
+    while (this->now < end) {
+      this->now += milliseconds(50);
+      this->Take(this->duty.Tick(this->now));
+      const auto calls = std::exchange(this->store_calls, {});
+      for (const StoreCall& call : calls) {
+        if (log_answers) this->Answer(call);
+      }
+      const auto pending = std::exchange(this->orders, {});
+      for (const upstream::ControlCall& order : pending) {
+        this->sent.push_back(order);
+        upstream::ControlAnswer answer = upstream::RangeGrantAnswer{};
+        if (std::holds_alternative<upstream::RangeReleaseCall>(order.request)) {
+          answer = upstream::RangeReleaseAnswer{Handover("h")};
+        }
+        this->Take(this->duty.OnControl({order.id, order.upstream, answer},
+                                        this->now));
+      }
+    }
+  }
+
+  MonotonicTime now{seconds(100)};
+  Metrics metrics;
+  OwnershipDuty duty{{DaemonId("d0"), DaemonInstance("i0"), {"10.0.0.9", 1}},
+                     {},
+                     std::make_shared<const TestDocuments>(),
+                     metrics,
+                     now};
+  std::optional<std::string> record;
+  LogOffset log_end{0};
+  GatewayTables tables;
+  std::vector<StoreCall> store_calls;
+  std::vector<upstream::ControlCall> orders;
+  std::vector<upstream::ControlCall> sent;
+  std::vector<peer::ToGossip> gossip;
+  std::vector<BeliefEvent> events;
+  std::vector<log_service::TopicRelay> relays;
+};
+
+SCENARIO("keys have no owner although upstreams are there") {
+  Fixture fixture;
+  fixture.Update(Topic::kDesiredState, {{"state", "3"}});
+  fixture.Update(Topic::kUpstreams, {{"u0", "reader"}, {"u1", "reader"}});
+  CHECK_FALSE(fixture.duty.IsReady());
+  fixture.Run(seconds(2));
+
+  THEN("the daemon leads and grants all keys") {
+    CHECK(fixture.duty.IsReady());
+    REQUIRE(fixture.tables.owners != nullptr);
+    for (const std::uint16_t key : {0, 30'000, 65'535}) {
+      CHECK(fixture.tables.owners->FindOwner(ServiceName("reader"),
+                                             ShardKey(key)) != nullptr);
+    }
+    CHECK(fixture.record.has_value());
+  }
+
+  WHEN("the log stops answering") {
+    fixture.sent.clear();
+    fixture.Run(seconds(4), false);
+    THEN("no order is sent after the mandate, and the lapse is stated") {
+      for (const upstream::ControlCall& order : fixture.sent) {
+        CHECK(order.send_before <
+              MonotonicTime(seconds(102)) + milliseconds(1'200));
+      }
+      const bool is_stated = std::any_of(
+          fixture.gossip.begin(), fixture.gossip.end(), [](const auto& sent) {
+            const auto* beat = std::get_if<peer::LeaderBeat>(&sent);
+            return beat != nullptr && beat->lapsed.has_value();
+          });
+      CHECK(is_stated);
+    }
+  }
+
+  WHEN("it stops") {
+    fixture.duty.BeginStop();
+    fixture.Run(seconds(1));
+    THEN("its last record lets another daemon lead at once") {
+      CHECK(fixture.duty.IsHandedOver());
+      CHECK(upstream::DecodeOwnership(*fixture.record)->is_released);
+    }
+  }
+}
+
+SCENARIO("a daemon that does not hear the leader knows no owners") {
+  Fixture fixture;
+  upstream::OwnershipRecord record;
+  record.term = Term(4);
+  record.leader = DaemonId("d1");
+  record.services[ServiceName("reader")] = {
+      {{kFirstKey, kLastKey},
+       UpstreamRun{UpstreamId("u0"), UpstreamLife(1)},
+       std::nullopt}};
+  fixture.record = upstream::EncodeOwnership(record);
+  fixture.log_end = LogOffset(9);
+  fixture.Update(Topic::kDesiredState, {{"state", "3"}});
+  fixture.Update(Topic::kUpstreams, {{"u0", "reader"}});
+  fixture.Run(milliseconds(200));
+  CHECK(fixture.duty.IsReady());
+  REQUIRE(fixture.tables.owners != nullptr);
+  CHECK(fixture.tables.owners->FindOwner(ServiceName("reader"), ShardKey(5)) !=
+        nullptr);
+}
+
+SCENARIO("an older or broken desired state comes into force") {
+  Fixture fixture;
+  fixture.Update(Topic::kDesiredState, {{"state", "3"}});
+  fixture.Update(Topic::kDesiredState, {{"state", "2"}}, false);
+  CHECK(fixture.tables.desired->version == ConfigVersion(3));
+  fixture.Update(Topic::kDesiredState, {{"state", "bad"}}, false);
+  CHECK(fixture.tables.desired->version == ConfigVersion(3));
+  CHECK(fixture.metrics.CountOf("desired_states_rejected") == 1);
+  fixture.Update(Topic::kUpstreams, {{"u0", "reader"}, {"u1", "bad"}});
+  CHECK(fixture.tables.upstreams->size() == 1);
+}
+
+SCENARIO("a follower reads what the leader has passed on") {
+  Fixture fixture;
+  peer::RecordRelay relay;
+  relay.topic = static_cast<std::uint8_t>(Topic::kUpstreams);
+  relay.from = LogOffset(3);
+  relay.end = LogOffset(5);
+  relay.records.emplace();
+  relay.records->emplace_back("u0", "reader");
+  fixture.Take(fixture.duty.OnGossip(relay, fixture.now));
+  REQUIRE(fixture.relays.size() == 1);
+  CHECK(fixture.relays[0].has_records);
+  CHECK(fixture.relays[0].records.at(0).key == "u0");
+  // A topic that this version does not know is left alone.
+  relay.topic = 200;
+  fixture.Take(fixture.duty.OnGossip(relay, fixture.now));
+  CHECK(fixture.relays.size() == 1);
+}
+
+}  // namespace
+}  // namespace bamboorack::daemon
--- a/unittests/upstream/range_leadership_test.cc
+++ b/unittests/upstream/range_leadership_test.cc
@@ -111,6 +111,16 @@
       CHECK(own.OwnTerm() == Term(4));
       CHECK(own.ExpectedEnd() == LogOffset(9));
     }
+    THEN("it is replaced at once if it says that its mandate has ended") {
+      own.OnLapseStated(LogOffset(9));
+      now += milliseconds(300);
+      REQUIRE(own.Next(now, false) == Wish::kClaim);
+    }
+    THEN("its word counts for its newest record only") {
+      own.OnLapseStated(LogOffset(8));
+      now += milliseconds(300);
+      CHECK(own.Next(now, false) == Wish::kRead);
+    }
     THEN("each new record starts the wait anew") {
       for (int i = 0; i < 40; ++i) {
         now += milliseconds(250);
