upstream, daemon: follow an upstream's next run, keep refusals true after a retry

Ruled out: a second leader (one term in the logs), a proxy that repeats bytes (the ids ran once). Change: the next run under an id takes the place of the former one and has to let go as any holder; a refusal is unknown if an earlier attempt was; after 2.5 s of a planned stop requests are refused at once.

--- a/include/bamboorack/daemon/gateway.h
+++ b/include/bamboorack/daemon/gateway.h
@@ -40,7 +40,8 @@
   /// Reports not ready, tells callers to reconnect elsewhere and hands the
   /// leadership over. Requests are still taken. Does not wait.
   void BeginDrain();
-  /// Takes no new connections; answers what is in flight. Does not wait.
+  /// Takes no new connections, refuses new requests on open ones and answers
+  /// what is in flight. Does not wait.
   void BeginStop();
   /// Returns whether nothing is in flight and no leadership is held.
   bool IsDrained() const;
--- a/include/bamboorack/daemon/gateway_router.h
+++ b/include/bamboorack/daemon/gateway_router.h
@@ -41,6 +41,9 @@
   GatewayActions OnUpstream(upstream::UpstreamToRouting message,
                             MonotonicTime now);
   GatewayActions OnPeer(const peer::LoadReport& report, MonotonicTime now);
+  /// From now on requests that arrive are refused: the process ends before
+  /// they could be answered for certain.
+  void BeginStop() { this->is_stopping = true; }
   /// Refuses what has run out of time and reports the load.
   GatewayActions Tick(MonotonicTime now);
   MonotonicTime NextWakeup() const;
@@ -91,6 +94,8 @@
     /// Its latency holds time that it waited at the upstream.
     bool is_contended = false;
     bool caller_gone = false;
+    /// An attempt ended without a word on whether it ran.
+    bool may_have_run = false;
     /// The owner map that a refusing upstream did not agree with.
     OwnerMapVersion disputed;
   };
@@ -153,6 +158,7 @@
   MonotonicTime next_report;
   bool reported_load = false;
   MonotonicTime next_sign;
+  bool is_stopping = false;
 
   // Valid during one call.
   MonotonicTime now;
--- a/include/bamboorack/daemon/gateway_router_thread.h
+++ b/include/bamboorack/daemon/gateway_router_thread.h
@@ -27,6 +27,8 @@
 
   void Start();
   void Stop();
+  /// Refuses requests that arrive from now on. Does not wait.
+  void BeginStop() { this->must_begin_stop = true; }
   /// Returns whether no request is held.
   bool IsIdle() const { return this->is_idle; }
 
@@ -52,6 +54,7 @@
   Metrics& metrics;
   GatewayRouter router;
   Wakeup wakeup;
+  std::atomic<bool> must_begin_stop{false};
   std::atomic<bool> is_stopping{false};
   std::atomic<bool> is_idle{true};
   std::thread thread;
--- a/include/bamboorack/upstream/range_keeper.h
+++ b/include/bamboorack/upstream/range_keeper.h
@@ -60,9 +60,11 @@
 ///
 /// A range leaves a holder with one of these proofs: the holder answered a
 /// release and no grant to it is unanswered; no order that was sent can make it
-/// hold the range any longer; or another run of the upstream has taken its
-/// place. A grant that was not answered may be carried out seconds later, so
-/// the next order has a higher token, which fences it.
+/// hold the range any longer; or another upstream has its address. A grant that
+/// was meant for a run that has ended may reach the next run under its id,
+/// which therefore takes the place of the former one. A grant that was not
+/// answered may be carried out seconds later, so the next order has a higher
+/// token, which fences it.
 class RangeKeeper {
  public:
   explicit RangeKeeper(const RangeLeases& range_leases)
@@ -179,9 +181,11 @@
   const RegisteredUpstream* Find(const UpstreamRun& run) const;
   /// Where to reach a run that is listed or was until a moment ago, or null.
   const Endpoint* EndpointOf(const UpstreamRun& run) const;
-  /// Whether another run has taken the place of `run`, so that it holds
-  /// nothing any more.
-  bool IsReplaced(const UpstreamRun& run) const;
+  /// Puts the present run under the id of `run` in its place. Orders that were
+  /// meant for the former run may have reached it, so it may hold the keys.
+  /// Returns whether there is another run.
+  bool FollowRun(std::optional<UpstreamRun>& run) const;
+  void FollowRuns(Range& range);
   void Send(const ServiceName& service, Range& range, const UpstreamRun& to,
             ControlRequest request, MonotonicTime deadline);
   void SendGrant(const ServiceName& service, Range& range,
--- a/include/bamboorack/upstream/range_leadership.h
+++ b/include/bamboorack/upstream/range_leadership.h
@@ -57,8 +57,8 @@
   void OnLeaderHeard(Term term, MonotonicTime now);
   /// The leader of `term` has given its duty up.
   void OnLeaderResigned(Term leader_term, MonotonicTime now);
-  /// The leader whose record ends the log at `end` has told that its mandate has
-  /// ended. It sends no orders before a renewal, which would move the end.
+  /// The leader whose record ends the log at `end` has told that its mandate
+  /// has ended. It sends no orders before a renewal, which would move the end.
   void OnLapseStated(LogOffset end) { this->lapsed_end = end; }
   /// The process stood still: its mandate may have passed unnoticed.
   void OnSuspended(MonotonicTime now);
--- a/lib/daemon/gateway.cc
+++ b/lib/daemon/gateway.cc
@@ -131,7 +131,10 @@
     this->ownership.BeginStop();
   }
 
-  void BeginStop() { this->callers.BeginStop(); }
+  void BeginStop() {
+    this->routing.BeginStop();
+    this->callers.BeginStop();
+  }
 
   bool IsDrained() const {
     return this->ownership.IsHandedOver() && this->routing.IsIdle();
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -159,6 +159,10 @@
 std::optional<Refusal> GatewayRouter::Admit(
     Pending& pending, const caller::RequestArrived& arrived) {
   const Request& request = arrived.request;
+  if (this->is_stopping) {
+    return Refusal{Ending::kNotRun, Reason::kStopping, "the daemon stops",
+                   kLeastRetryAfter};
+  }
   if (!this->tables.desired || !this->tables.upstreams) {
     return Refusal{Ending::kNotRun, Reason::kNoState,
                    "no desired state is known yet", kNoStateRetry};
@@ -423,6 +427,7 @@
 
 void GatewayRouter::Retry(Pending& pending, const Refusal& refusal) {
   this->metrics.CountRetry(refusal.reason);
+  pending.may_have_run |= refusal.ending == Ending::kUnknown;
   this->Log(pending, EventKind::kRequestTrouble, "retry", refusal.reason);
   if (refusal.reason == Reason::kUpstreamRefusedOwner &&
       this->tables.owners != nullptr) {
@@ -438,6 +443,8 @@
   if (!is_done) {
     Refusal& refusal = result.error();
     this->metrics.CountRefusal(refusal.reason);
+    // A refusal must not promise what an earlier attempt may have broken.
+    if (pending.may_have_run) refusal.ending = Ending::kUnknown;
     if (refusal.ending == Ending::kNotRun && !refusal.retry_after) {
       const LineKey key{pending.service,
                         pending.is_sharded ? pending.upstream : UpstreamId()};
--- a/lib/daemon/gateway_router_thread.cc
+++ b/lib/daemon/gateway_router_thread.cc
@@ -48,6 +48,7 @@
 void GatewayRouterThread::Run() {
   while (!this->is_stopping) {
     const MonotonicTime now = steady_clock::now();
+    if (this->must_begin_stop.exchange(false)) this->router.BeginStop();
     const bool had_input = this->HandleInputs(now);
     this->CarryOut(this->router.Tick(now), now);
     this->is_idle = this->router.IsIdle();
--- a/lib/daemon/ownership_duty.cc
+++ b/lib/daemon/ownership_duty.cc
@@ -302,8 +302,7 @@
   for (const auto& [service, rows] : record.services) {
     std::vector<OwnedRange>& ranges = map.services[service];
     for (const upstream::RecordedRange& row : rows) {
-      ranges.push_back(
-          {row.range, row.successor ? std::nullopt : row.holder});
+      ranges.push_back({row.range, row.successor ? std::nullopt : row.holder});
     }
   }
   this->tables.owners = std::make_shared<const OwnerMap>(std::move(map));
--- a/lib/upstream/range_keeper.cc
+++ b/lib/upstream/range_keeper.cc
@@ -129,9 +129,24 @@
   return found->second.run == run ? &found->second : nullptr;
 }
 
-bool RangeKeeper::IsReplaced(const UpstreamRun& run) const {
-  const auto found = this->upstreams.find(run.id);
-  return found != this->upstreams.end() && found->second.run.life > run.life;
+bool RangeKeeper::FollowRun(std::optional<UpstreamRun>& run) const {
+  if (!run) return false;
+  const auto found = this->upstreams.find(run->id);
+  if (found == this->upstreams.end()) return false;
+  if (found->second.run.life <= run->life) return false;
+  run = found->second.run;
+  return true;
+}
+
+void RangeKeeper::FollowRuns(Range& range) {
+  const bool has_new_holder = this->FollowRun(range.holder);
+  const bool has_new_successor = this->FollowRun(range.successor);
+  if (!has_new_holder && !has_new_successor) return;
+  ++this->change;
+  this->has_new_map = true;
+  range.has_unanswered_grant = true;
+  range.unanswered = 0;
+  range.next_call = this->step_time;
 }
 
 std::vector<RangeView> RangeKeeper::Ranges(const ServiceName& service) const {
@@ -226,6 +241,7 @@
   for (auto& [service, ranges] : this->services) {
     this->MergeNeighbours(ranges);
     for (Range& range : ranges) {
+      this->FollowRuns(range);
       (this->*kSteps.at(static_cast<std::size_t>(range.phase)))(service, range);
     }
   }
@@ -237,10 +253,6 @@
 }
 
 void RangeKeeper::StepHeld(const ServiceName& service, Range& range) {
-  if (this->IsReplaced(*range.holder)) {
-    this->LetGo(service, range, "holder_replaced");
-    return;
-  }
   if (range.call) return;
   const bool is_listed = this->Find(*range.holder) != nullptr;
   if (this->step_time >= range.may_hold_until &&
@@ -255,10 +267,6 @@
 }
 
 void RangeKeeper::StepSaving(const ServiceName& service, Range& range) {
-  if (range.holder && this->IsReplaced(*range.holder)) {
-    range.holder.reset();
-    range.has_unanswered_grant = false;
-  }
   if (range.call || this->saved < range.needs_change) return;
   if (this->Find(*range.successor) == nullptr) {
     range.successor.reset();
@@ -288,10 +296,8 @@
 }
 
 void RangeKeeper::StepReleasing(const ServiceName& service, Range& range) {
-  const bool holder_gone =
-      !range.holder || range.holder_released || this->IsReplaced(*range.holder);
-  const bool successor_gone =
-      !range.must_release_successor || this->IsReplaced(*range.successor);
+  const bool holder_gone = !range.holder || range.holder_released;
+  const bool successor_gone = !range.must_release_successor;
   if (holder_gone && successor_gone) {
     this->LetGo(service, range, "released");
     return;
@@ -331,8 +337,7 @@
 }
 
 void RangeKeeper::StepExpiring(const ServiceName& service, Range& range) {
-  if (this->IsReplaced(*range.holder) ||
-      this->step_time >= range.may_hold_until) {
+  if (this->step_time >= range.may_hold_until) {
     this->LetGo(service, range, "lease_ran_out");
   }
 }
--- a/tools/gateway/main.cc
+++ b/tools/gateway/main.cc
@@ -33,7 +33,7 @@
 
 // The load balancer takes a daemon out after two misses, one second apart.
 // Until then it sends new connections.
-constexpr milliseconds kNoticeTime{3'000};
+constexpr milliseconds kNoticeTime{2'500};
 // Left between the last answer and the kill.
 constexpr milliseconds kExitMargin{600};
 constexpr milliseconds kPollInterval{100};
--- a/unittests/daemon/gateway_router_test.cc
+++ b/unittests/daemon/gateway_router_test.cc
@@ -251,6 +251,19 @@
   }
 }
 
+SCENARIO("a refusal after a retry says that the request has not run") {
+  // Known by the soak, seeds 2, 3 and 5 of 2026-12-04.
+  Fixture fixture;
+  fixture.Publish();
+  fixture.Arrive(1, "/read/1", "17");
+  fixture.End(fixture.dispatches.at(0), Unknown(Reason::kUpstreamLost));
+  fixture.Wait(milliseconds(60));
+  REQUIRE(fixture.dispatches.size() == 2);
+  fixture.End(fixture.dispatches[1], NotRun(Reason::kUpstreamRefusedOwner));
+  REQUIRE(fixture.answers.size() == 1);
+  CHECK(fixture.answers[0].result.error().ending == Ending::kUnknown);
+}
+
 SCENARIO("work goes on for a caller that has left") {
   Fixture fixture;
   fixture.Publish();
@@ -325,6 +338,25 @@
   CHECK(refused_on_arrival > 100);
 }
 
+SCENARIO("a planned stop cuts off a request that it could not finish") {
+  Fixture fixture;
+  fixture.Publish();
+  fixture.Arrive(1, "/pay/1");
+  fixture.router.BeginStop();
+  fixture.Arrive(2, "/pay/1");
+  THEN("later requests are refused as not run") {
+    REQUIRE(fixture.answers.size() == 1);
+    CHECK(fixture.answers[0].slot.value == 2);
+    CHECK(fixture.answers[0].result.error().reason == Reason::kStopping);
+    CHECK(fixture.answers[0].result.error().ending == Ending::kNotRun);
+    CHECK(fixture.dispatches.size() == 1);
+  }
+  THEN("earlier ones are answered") {
+    fixture.End(fixture.dispatches[0], Fixture::Ok());
+    CHECK(fixture.answers.back().result.has_value());
+  }
+}
+
 SCENARIO("a new daemon without requests is not heard, so it learns no owners") {
   Fixture fixture;
   fixture.Wait(seconds(3));
