--- a/include/bamboorack/core/event_log.h
+++ b/include/bamboorack/core/event_log.h
@@ -38,7 +38,8 @@
 /// Builds one JSON line. The line is written when the object is destroyed.
 class EventLine {
  public:
-  EventLine(EventLog* event_log, EventKind line_kind, std::string_view event);
+  /// A null log writes nothing.
+  EventLine(EventLog* event_log, std::string_view event);
   ~EventLine();
   EventLine(const EventLine&) = delete;
   EventLine& operator=(const EventLine&) = delete;
@@ -54,7 +55,6 @@
 
   /// Null if the line's kind has used up its budget.
   EventLog* log;
-  EventKind kind;
   std::string line;
 };
 
--- a/include/bamboorack/daemon/ownership_duty.h
+++ b/include/bamboorack/daemon/ownership_duty.h
@@ -61,7 +61,8 @@
                 std::shared_ptr<const log_service::StateDocuments> documents,
                 Metrics& registry, MonotonicTime start);
 
-  DutyActions OnTopic(log_service::TopicUpdate update, MonotonicTime now);
+  DutyActions OnTopic(const log_service::TopicUpdate& update,
+                      MonotonicTime now);
   DutyActions OnStore(log_service::StoreResult result, MonotonicTime now);
   DutyActions OnControl(const upstream::ControlResult& result,
                         MonotonicTime now);
--- a/include/bamboorack/operator/readiness_server.h
+++ b/include/bamboorack/operator/readiness_server.h
@@ -1,6 +1,8 @@
 #ifndef BAMBOORACK_OPERATOR_READINESS_SERVER_H_
 #define BAMBOORACK_OPERATOR_READINESS_SERVER_H_
 
+#include <Poco/Net/HTTPServer.h>
+
 #include <functional>
 #include <memory>
 #include <string>
@@ -9,10 +11,6 @@
 #include "bamboorack/core/ids.h"
 #include "bamboorack/core/metrics.h"
 
-namespace Poco::Net {
-class HTTPServer;
-}  // namespace Poco::Net
-
 namespace bamboorack::operators {
 
 /// Answers `GET` on one path with 200 or 503 by whether the daemon is ready,
--- a/lib/core/event_log.cc
+++ b/lib/core/event_log.cc
@@ -41,9 +41,8 @@
 
 }  // namespace
 
-EventLine::EventLine(EventLog* event_log, EventKind line_kind,
-                     std::string_view event)
-    : log(event_log), kind(line_kind) {
+EventLine::EventLine(EventLog* event_log, std::string_view event)
+    : log(event_log) {
   if (this->log == nullptr) return;
   const auto wall = std::chrono::duration_cast<milliseconds>(
       std::chrono::system_clock::now().time_since_epoch());
@@ -108,7 +107,7 @@
 }
 
 EventLine EventLog::Line(EventKind kind, std::string_view event) {
-  return {this->TakeBudget(kind) ? this : nullptr, kind, event};
+  return {this->TakeBudget(kind) ? this : nullptr, event};
 }
 
 bool EventLog::TakeBudget(EventKind kind) {
--- a/lib/daemon/gateway.cc
+++ b/lib/daemon/gateway.cc
@@ -22,7 +22,6 @@
 namespace bamboorack::daemon {
 namespace {
 
-using log_service::FollowPlan;
 using log_service::Topic;
 using std::chrono::milliseconds;
 
--- /dev/null
+++ b/lib/daemon/gateway_router_endings.cc
@@ -0,0 +1,129 @@
+#include <algorithm>
+#include <utility>
+
+#include "bamboorack/core/hash.h"
+#include "bamboorack/daemon/gateway_router.h"
+
+// How requests end: again, answered or refused.
+
+namespace bamboorack::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+constexpr milliseconds kLeastRetryAfter{60};
+// Before a request goes again to an upstream that was full or did not agree on
+// the owner.
+constexpr milliseconds kSameUpstreamPause{40};
+constexpr double kLatencyWeight = 0.05;
+// Until the first answer of a route.
+constexpr nanoseconds kFirstLatency = milliseconds(120);
+
+}  // namespace
+
+bool GatewayRouter::MayRetry(const Pending& pending, const Refusal& refusal) {
+  const bool is_safe =
+      refusal.ending == Ending::kNotRun || IsIdempotent(pending.repeatability);
+  if (!is_safe || pending.attempts >= pending.max_attempts) return false;
+  if (refusal.reason == Reason::kCancelled) return false;
+  if (refusal.reason == Reason::kStopping) return false;
+  const nanoseconds needed = this->UsualLatency(pending.route) / 2;
+  if (this->now + needed >= pending.limit) return false;
+  if (this->budgets.at(pending.service).TryTake()) return true;
+  this->metrics.Count("retry_budget_empty");
+  return false;
+}
+
+void GatewayRouter::Retry(Pending& pending, const Refusal& refusal) {
+  this->metrics.CountRetry(refusal.reason);
+  pending.may_have_run |= refusal.ending == Ending::kUnknown;
+  this->Log(pending, EventKind::kRequestTrouble, "retry", refusal.reason);
+  if (refusal.reason == Reason::kUpstreamRefusedOwner &&
+      this->tables.owners != nullptr) {
+    pending.disputed = this->tables.owners->version;
+  }
+  // A sharded request has one upstream only, which gets a moment.
+  if (pending.is_sharded) pending.not_before = this->now + kSameUpstreamPause;
+  this->PlaceRequest(pending, false);
+}
+
+void GatewayRouter::Finish(Pending& pending, Result result) {
+  const bool is_done = result.has_value();
+  if (!is_done) {
+    Refusal& refusal = result.error();
+    this->metrics.CountRefusal(refusal.reason);
+    // A refusal must not promise what an earlier attempt may have broken.
+    if (pending.may_have_run) refusal.ending = Ending::kUnknown;
+    if (refusal.ending == Ending::kNotRun && !refusal.retry_after) {
+      const LineKey key{pending.service,
+                        pending.is_sharded ? pending.upstream : UpstreamId()};
+      const auto line = this->lines.find(key);
+      refusal.retry_after = this->SpreadRetry(
+          pending,
+          line == this->lines.end()
+              ? nanoseconds(0)
+              : line->second.ExpectedWait(pending.priority, this->now));
+    }
+    this->Log(pending, EventKind::kRequestTrouble,
+              refusal.ending == Ending::kNotRun ? "refused" : "failed",
+              refusal.reason, refusal.retry_after.value_or(milliseconds(0)));
+  } else {
+    this->Log(pending, EventKind::kRequestDone, "answered", std::nullopt);
+    std::get<RequestEvent>(this->actions.back()).status = result->status;
+  }
+  this->by_slot.erase(pending.slot.value);
+  this->actions.emplace_back(caller::ToCaller{pending.slot, std::move(result)});
+  this->requests.erase(pending.handle);
+}
+
+void GatewayRouter::Refuse(Pending& pending, Reason reason, std::string detail,
+                           nanoseconds retry_after) {
+  this->LeaveLine(pending);
+  this->Finish(pending, tl::make_unexpected(
+                            Refusal{Ending::kNotRun, reason, std::move(detail),
+                                    this->SpreadRetry(pending, retry_after)}));
+}
+
+milliseconds GatewayRouter::SpreadRetry(const Pending& pending,
+                                        nanoseconds wait) const {
+  // Callers that were refused together come back spread over half the wait.
+  constexpr std::uint64_t kSteps = 64;
+  const std::uint64_t step = HashText(pending.request.id.value) % kSteps;
+  const nanoseconds spread = wait / 2 * step / kSteps;
+  return std::max(kLeastRetryAfter, std::chrono::duration_cast<milliseconds>(
+                                        wait * 3 / 4 + spread));
+}
+
+void GatewayRouter::Log(const Pending& pending, EventKind kind,
+                        std::string_view what, std::optional<Reason> reason,
+                        nanoseconds wait) {
+  RequestEvent event;
+  event.kind = kind;
+  event.what = what;
+  event.request = pending.request.id;
+  event.route = pending.route;
+  event.upstream = pending.upstream;
+  event.attempts = pending.attempts;
+  event.age = this->now - pending.arrived;
+  event.reason = reason;
+  event.expected_wait = wait;
+  event.registry_age = this->now - this->tables.upstreams_read;
+  if (this->tables.desired) event.config = this->tables.desired->version;
+  if (this->tables.owners) event.owners = this->tables.owners->version;
+  this->actions.emplace_back(std::move(event));
+}
+
+nanoseconds GatewayRouter::UsualLatency(const RouteName& route) const {
+  const auto found = this->latencies.find(route);
+  return found == this->latencies.end() ? kFirstLatency : found->second;
+}
+
+void GatewayRouter::LearnLatency(const RouteName& route, nanoseconds latency) {
+  const auto [found, is_new] = this->latencies.try_emplace(route, latency);
+  if (is_new) return;
+  found->second += std::chrono::duration_cast<nanoseconds>(
+      (latency - found->second) * kLatencyWeight);
+}
+
+}  // namespace bamboorack::daemon
--- a/lib/daemon/ownership_duty.cc
+++ b/lib/daemon/ownership_duty.cc
@@ -1,61 +1,31 @@
 #include "bamboorack/daemon/ownership_duty.h"
 
 #include <algorithm>
-#include <sstream>
 
-#include "bamboorack/core/json_fields.h"
-#include "bamboorack/upstream/ownership_codec.h"
+#include "bamboorack/core/text_of.h"
 
 namespace bamboorack::daemon {
 namespace {
 
-using log_service::KeyedAppend;
-using log_service::KeyedAppendFailure;
-using log_service::KeyedRecords;
-using log_service::ReadFailure;
-using log_service::StoreCall;
-using log_service::Topic;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using upstream::RangeLeadership;
 
-using ReadOutcome = tl::expected<KeyedRecords, ReadFailure>;
-using AppendOutcome = tl::expected<LogOffset, KeyedAppendFailure>;
-
-constexpr std::string_view kOwnershipKey = "owners";
-constexpr milliseconds kStoreLimit{450};
 constexpr milliseconds kPlanEvery{250};
 constexpr milliseconds kBeatEvery{150};
 // Changes of owners that come together are sent together.
 constexpr milliseconds kPublishEvery{60};
 constexpr milliseconds kFullBeatEvery{1'000};
-// The list of daemons changes only when VMs are replaced, and daemons learn of
-// each other by their messages.
-constexpr seconds kDirectoryEvery{12};
-constexpr milliseconds kDirectoryRetry{700};
 // A leader that cannot reach this share of the upstreams for this time leaves
 // the duty to a daemon that may reach them.
-// A read of the desired state waits for a change for 1.5 s, and may take 0.8 s
-// longer on a slow log.
-constexpr milliseconds kDesiredStateAge{2'300};
-// More changes than this do not fit a datagram for certain.
-constexpr std::size_t kMaxRelayed = 60;
 constexpr double kLostShare = 0.5;
 constexpr milliseconds kLostTime{700};
-constexpr seconds kStepDownTime{7};
 // Reports that are older say nothing of the present.
 constexpr seconds kReportAge{1};
 constexpr double kMinSpeed = 0.25;
 constexpr double kMaxSpeed = 2.5;
 
-template <typename Value>
-std::string TextOf(const Value& value) {
-  std::ostringstream text;
-  text << value;
-  return text.str();
-}
-
-std::string TextOf(const std::optional<UpstreamRun>& run) {
+std::string IdOf(const std::optional<UpstreamRun>& run) {
   return run ? run->id.value : std::string();
 }
 
@@ -86,157 +56,6 @@
       BeliefEvent{kind, std::move(what), std::move(fields)});
 }
 
-DutyActions OwnershipDuty::OnTopic(log_service::TopicUpdate update,
-                                   MonotonicTime time) {
-  this->now = time;
-  this->NoteStoreContact(update);
-  if (!update.failure) {
-    this->Relay(update);
-    if (update.topic == Topic::kDesiredState) this->ApplyDesiredState(update);
-    if (update.topic == Topic::kUpstreams) this->ApplyUpstreams(update);
-  }
-  return this->Take();
-}
-
-void OwnershipDuty::NoteStoreContact(const log_service::TopicUpdate& update) {
-  const bool is_up = !update.failure;
-  if (update.topic == Topic::kUpstreams && !is_up) {
-    this->registry.NoteFailure(this->now);
-  }
-  // A relay tells of the log, but not that it can be reached from here.
-  if (update.is_relayed) return;
-  if (update.topic == Topic::kUpstreams && is_up) {
-    this->registry.NoteContact(this->now);
-    this->tables.upstreams_read = update.at;
-    this->has_new_tables = this->tables.upstreams != nullptr;
-  }
-  const auto [known, is_new] =
-      this->store_contact.try_emplace(update.topic, is_up);
-  if (!is_new && known->second == is_up) return;
-  known->second = is_up;
-  this->Say(EventKind::kProcess, is_up ? "log_regained" : "log_lost",
-            {{"topic", std::string(NameOf(update.topic))},
-             {"detail", update.failure.value_or("")}});
-}
-
-bool OwnershipDuty::IsNews(const log_service::KeyedRecord& record) {
-  if (!record.value) {
-    this->relayed.erase(record.key);
-    return true;
-  }
-  auto entry = this->documents->ReadUpstream(record.key, *record.value);
-  if (!entry) return true;
-  entry->warm_up_left = milliseconds(0);
-  const auto [known, is_new] = this->relayed.try_emplace(record.key, *entry);
-  if (!is_new && known->second == *entry) return false;
-  known->second = std::move(*entry);
-  return true;
-}
-
-void OwnershipDuty::Relay(const log_service::TopicUpdate& update) {
-  const bool is_leader =
-      this->leadership.GetRole() == RangeLeadership::Role::kLeader;
-  if (!is_leader || update.is_relayed) return;
-  peer::RecordRelay relay;
-  relay.topic = static_cast<std::uint8_t>(update.topic);
-  relay.from = update.from;
-  relay.end = update.end;
-  // A desired state may be larger than a datagram, and changes rarely.
-  if (update.topic == Topic::kUpstreams && !update.is_complete) {
-    relay.records.emplace();
-    for (const log_service::KeyedRecord& record : update.records) {
-      if (!this->IsNews(record)) continue;
-      relay.records->emplace_back(record.key, record.value);
-    }
-    if (relay.records->size() > kMaxRelayed) relay.records.reset();
-  }
-  if (update.topic == Topic::kDesiredState) {
-    this->desired_state_relay = relay;
-    this->desired_state_read = this->now;
-  } else if (this->now - this->desired_state_read < kDesiredStateAge) {
-    // Its reads wait for a change, longer than relays are trusted.
-    this->actions.emplace_back(peer::ToGossip(this->desired_state_relay));
-  }
-  this->actions.emplace_back(peer::ToGossip(std::move(relay)));
-}
-
-void OwnershipDuty::OnRelay(const peer::RecordRelay& relay) {
-  if (relay.topic >= log_service::kTopicNames.size()) return;
-  log_service::TopicRelay hint;
-  hint.topic = static_cast<Topic>(relay.topic);
-  hint.from = relay.from;
-  hint.end = relay.end;
-  hint.wants_read = relay.wants_read;
-  hint.has_records = relay.records.has_value();
-  if (relay.records) {
-    for (const auto& [key, value] : *relay.records) {
-      hint.records.push_back({key, value});
-    }
-  }
-  this->actions.emplace_back(std::move(hint));
-}
-
-void OwnershipDuty::AskForContact() {
-  const bool is_in_trouble = this->leadership.IsInTrouble(this->now);
-  const bool asks = is_in_trouble && !this->has_asked_for_contact;
-  this->has_asked_for_contact = is_in_trouble;
-  if (!asks) return;
-  peer::RecordRelay relay;
-  relay.topic = static_cast<std::uint8_t>(Topic::kUpstreams);
-  relay.wants_read = true;
-  this->actions.emplace_back(peer::ToGossip(std::move(relay)));
-}
-
-void OwnershipDuty::ApplyDesiredState(const log_service::TopicUpdate& update) {
-  for (const log_service::KeyedRecord& record : update.records) {
-    if (record.key != this->documents->DesiredStateKey() || !record.value) {
-      continue;
-    }
-    auto state = this->documents->ReadDesiredState(*record.value);
-    if (!state) {
-      this->metrics.Count("desired_states_rejected");
-      this->Say(EventKind::kBelief, "desired_state_rejected",
-                {{"detail", state.error()}});
-      continue;
-    }
-    if (this->tables.desired &&
-        state->version <= this->tables.desired->version) {
-      continue;
-    }
-    this->Say(EventKind::kBelief, "desired_state",
-              {{"version", TextOf(state->version)},
-               {"routes", std::to_string(state->routes.size())}});
-    this->tables.desired =
-        std::make_shared<const DesiredState>(std::move(*state));
-    this->has_new_tables = true;
-  }
-}
-
-void OwnershipDuty::ApplyUpstreams(const log_service::TopicUpdate& update) {
-  std::vector<RegisteredUpstream> all;
-  for (const log_service::KeyedRecord& record : update.records) {
-    const UpstreamId id(record.key);
-    if (!record.value) {
-      this->registry.Set(id, std::nullopt, this->now);
-      continue;
-    }
-    auto entry = this->documents->ReadUpstream(record.key, *record.value);
-    if (!entry) {
-      this->metrics.Count("upstream_entries_rejected");
-      this->Say(EventKind::kBelief, "upstream_entry_rejected",
-                {{"upstream", record.key}, {"detail", entry.error()}});
-      continue;
-    }
-    if (update.is_complete) {
-      all.push_back(std::move(*entry));
-    } else {
-      this->registry.Set(id, *entry, this->now);
-    }
-  }
-  if (update.is_complete) this->registry.Replace(all, this->now);
-  if (!this->tables.upstreams) this->PublishTables();
-}
-
 void OwnershipDuty::PublishTables() {
   auto entries = this->registry.Entries();
   this->keeper.SetUpstreams(entries, this->now);
@@ -249,108 +68,6 @@
   if (is_heard) this->ApplyHeardOwners();
 }
 
-DutyActions OwnershipDuty::OnStore(log_service::StoreResult result,
-                                   MonotonicTime time) {
-  this->now = time;
-  this->is_store_busy = false;
-  if (auto* read = std::get_if<ReadOutcome>(&result.outcome)) {
-    if (result.topic == Topic::kOwnership) this->OnOwnershipRead(*read);
-    if (result.topic == Topic::kDaemons) this->OnDaemonsRead(*read);
-    return this->Take();
-  }
-  const auto& appended = std::get<AppendOutcome>(result.outcome);
-  if (result.topic == Topic::kOwnership) {
-    this->OnOwnershipAppended(appended, result.sent);
-  } else {
-    this->is_registered = appended.has_value();
-    this->next_directory_call =
-        this->now + (appended ? milliseconds(0) : kDirectoryRetry);
-  }
-  return this->Take();
-}
-
-void OwnershipDuty::OnOwnershipRead(const ReadOutcome& read) {
-  if (!read) {
-    this->metrics.Count("ownership_read_failures");
-    this->leadership.OnReadFailed(this->now);
-    return;
-  }
-  std::optional<upstream::OwnershipRecord> record;
-  for (const log_service::KeyedRecord& row : read->records) {
-    if (row.key != kOwnershipKey || !row.value) continue;
-    auto decoded = upstream::DecodeOwnership(*row.value);
-    if (!decoded) {
-      this->Say(EventKind::kProcess, "ownership_record_unreadable",
-                {{"detail", decoded.error()}});
-      this->leadership.OnReadFailed(this->now);
-      return;
-    }
-    record = std::move(*decoded);
-  }
-  if (record) this->ApplyRecordedOwners(*record);
-  this->newest_record = record;
-  this->newest_read = this->now;
-  this->leadership.OnRead(record, read->end, this->now);
-}
-
-void OwnershipDuty::ApplyRecordedOwners(
-    const upstream::OwnershipRecord& record) {
-  // Change 0 is below every map that the leader of the term sends.
-  const OwnerMapVersion version{record.term, 0};
-  if (this->tables.owners && this->tables.owners->version >= version) return;
-  OwnerMap map{version, {}};
-  for (const auto& [service, rows] : record.services) {
-    std::vector<OwnedRange>& ranges = map.services[service];
-    for (const upstream::RecordedRange& row : rows) {
-      ranges.push_back({row.range, row.successor ? std::nullopt : row.holder});
-    }
-  }
-  this->tables.owners = std::make_shared<const OwnerMap>(std::move(map));
-  this->has_new_tables = true;
-}
-
-void OwnershipDuty::OnOwnershipAppended(const AppendOutcome& appended,
-                                        MonotonicTime sent) {
-  if (!appended) {
-    this->metrics.Count("ownership_append_failures");
-    this->Say(EventKind::kOwnership, "ownership_append_failed",
-              {{"detail", appended.error().detail}});
-    this->leadership.OnAppendFailed(sent, this->now);
-    return;
-  }
-  this->saved_change = std::max(this->saved_change, this->sent_change);
-  this->leadership.OnAppended(*appended, sent, this->now);
-  if (!this->is_release_sent) return;
-  this->is_release_sent = false;
-  this->wants_to_step_down = false;
-  this->leadership.StepDown(this->now + kStepDownTime);
-  peer::LeaderBeat beat;
-  beat.sender = this->identity.daemon;
-  beat.version = this->sent_version;
-  beat.has_resigned = true;
-  this->actions.emplace_back(peer::ToGossip(std::move(beat)));
-  this->Say(EventKind::kOwnership, "leadership_released",
-            {{"term", TextOf(this->leadership.OwnTerm())}});
-}
-
-void OwnershipDuty::OnDaemonsRead(const ReadOutcome& read) {
-  if (!read) {
-    this->next_directory_call = this->now + kDirectoryRetry;
-    return;
-  }
-  peer::SetPeers set;
-  for (const log_service::KeyedRecord& row : read->records) {
-    if (!row.value) continue;
-    const auto endpoint = EndpointFromText(*row.value);
-    if (endpoint) set.peers.push_back(*endpoint);
-  }
-  this->known_daemons = set.peers.size();
-  this->next_directory_call =
-      this->now + (this->known_daemons > 1 ? milliseconds(kDirectoryEvery)
-                                           : kDirectoryRetry);
-  this->actions.emplace_back(peer::ToGossip(std::move(set)));
-}
-
 DutyActions OwnershipDuty::OnControl(const upstream::ControlResult& result,
                                      MonotonicTime time) {
   this->now = time;
@@ -613,83 +330,13 @@
     this->Say(EventKind::kOwnership, std::string(event.what),
               {{"service", event.service.value},
                {"keys", TextOf(event.range)},
-               {"holder", TextOf(event.holder)},
-               {"successor", TextOf(event.successor)},
+               {"holder", IdOf(event.holder)},
+               {"successor", IdOf(event.successor)},
                {"token", TextOf(event.token)},
                {"term", TextOf(this->leadership.OwnTerm())}});
   }
 }
 
-void OwnershipDuty::CallStore() {
-  if (this->is_store_busy) return;
-  const bool is_leader =
-      this->leadership.GetRole() == RangeLeadership::Role::kLeader;
-  if (this->is_stopping && !is_leader) return;
-  const bool has_unsaved =
-      is_leader && this->keeper.Change() > this->saved_change;
-  const RangeLeadership::Wish wish =
-      this->leadership.Next(this->now, has_unsaved);
-  if (wish == RangeLeadership::Wish::kNothing) {
-    this->CallForDirectory();
-    return;
-  }
-  this->is_store_busy = true;
-  if (wish == RangeLeadership::Wish::kRead) {
-    this->actions.emplace_back(StoreCall{
-        this->now + kStoreLimit, log_service::ReadTopic{Topic::kOwnership}});
-    return;
-  }
-  this->AppendOwnership(wish);
-}
-
-void OwnershipDuty::AppendOwnership(RangeLeadership::Wish wish) {
-  upstream::OwnershipRecord record;
-  record.term = this->leadership.OwnTerm();
-  record.leader = this->identity.daemon;
-  record.instance = this->identity.instance;
-  if (wish == RangeLeadership::Wish::kClaim) {
-    if (this->newest_record) record.services = this->newest_record->services;
-    this->sent_change = 0;
-  } else {
-    record.change = this->keeper.Change();
-    record.services = this->keeper.ToRecord();
-    const bool is_calm = std::none_of(
-        record.services.begin(), record.services.end(),
-        [this](const auto& item) { return this->keeper.IsBusy(item.first); });
-    record.is_released =
-        this->wants_to_step_down || (this->is_stopping && is_calm);
-    this->is_release_sent = record.is_released;
-    if (record.is_released) {
-      this->leadership.SuspendMandate();
-      record.leases_left = std::max(
-          milliseconds(0), std::chrono::ceil<milliseconds>(
-                               this->keeper.LastLeaseEnd() - this->now));
-    }
-    this->sent_change = record.change;
-  }
-  this->actions.emplace_back(StoreCall{
-      this->now + kStoreLimit, KeyedAppend{Topic::kOwnership,
-                                           {std::string(kOwnershipKey),
-                                            upstream::EncodeOwnership(record)},
-                                           this->leadership.ExpectedEnd()}});
-}
-
-void OwnershipDuty::CallForDirectory() {
-  if (this->is_stopping || this->now < this->next_directory_call) return;
-  this->is_store_busy = true;
-  if (this->is_registered) {
-    this->actions.emplace_back(StoreCall{
-        this->now + kStoreLimit, log_service::ReadTopic{Topic::kDaemons}});
-    return;
-  }
-  this->actions.emplace_back(StoreCall{
-      this->now + kStoreLimit,
-      KeyedAppend{
-          Topic::kDaemons,
-          {this->identity.daemon.value, ToText(this->identity.gossip_endpoint)},
-          std::nullopt}});
-}
-
 bool OwnershipDuty::IsHandedOver() const {
   return this->leadership.GetRole() != RangeLeadership::Role::kLeader;
 }
--- /dev/null
+++ b/lib/daemon/ownership_duty_store.cc
@@ -0,0 +1,208 @@
+#include <algorithm>
+
+#include "bamboorack/core/json_fields.h"
+#include "bamboorack/core/text_of.h"
+#include "bamboorack/daemon/ownership_duty.h"
+#include "bamboorack/upstream/ownership_codec.h"
+
+// The calls to the log that decide on ownership, and what they bring.
+
+namespace bamboorack::daemon {
+namespace {
+
+using log_service::KeyedAppend;
+using log_service::KeyedAppendFailure;
+using log_service::KeyedRecords;
+using log_service::ReadFailure;
+using log_service::StoreCall;
+using log_service::Topic;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using upstream::RangeLeadership;
+
+using ReadOutcome = tl::expected<KeyedRecords, ReadFailure>;
+using AppendOutcome = tl::expected<LogOffset, KeyedAppendFailure>;
+
+constexpr std::string_view kOwnershipKey = "owners";
+constexpr milliseconds kStoreLimit{450};
+// The list of daemons changes only when VMs are replaced, and daemons learn of
+// each other by their messages.
+constexpr seconds kDirectoryEvery{12};
+constexpr milliseconds kDirectoryRetry{700};
+constexpr seconds kStepDownTime{7};
+
+}  // namespace
+
+DutyActions OwnershipDuty::OnStore(log_service::StoreResult result,
+                                   MonotonicTime time) {
+  this->now = time;
+  this->is_store_busy = false;
+  if (auto* read = std::get_if<ReadOutcome>(&result.outcome)) {
+    if (result.topic == Topic::kOwnership) this->OnOwnershipRead(*read);
+    if (result.topic == Topic::kDaemons) this->OnDaemonsRead(*read);
+    return this->Take();
+  }
+  const auto& appended = std::get<AppendOutcome>(result.outcome);
+  if (result.topic == Topic::kOwnership) {
+    this->OnOwnershipAppended(appended, result.sent);
+  } else {
+    this->is_registered = appended.has_value();
+    this->next_directory_call =
+        this->now + (appended ? milliseconds(0) : kDirectoryRetry);
+  }
+  return this->Take();
+}
+
+void OwnershipDuty::OnOwnershipRead(const ReadOutcome& read) {
+  if (!read) {
+    this->metrics.Count("ownership_read_failures");
+    this->leadership.OnReadFailed(this->now);
+    return;
+  }
+  std::optional<upstream::OwnershipRecord> record;
+  for (const log_service::KeyedRecord& row : read->records) {
+    if (row.key != kOwnershipKey || !row.value) continue;
+    auto decoded = upstream::DecodeOwnership(*row.value);
+    if (!decoded) {
+      this->Say(EventKind::kProcess, "ownership_record_unreadable",
+                {{"detail", decoded.error()}});
+      this->leadership.OnReadFailed(this->now);
+      return;
+    }
+    record = std::move(*decoded);
+  }
+  if (record) this->ApplyRecordedOwners(*record);
+  this->newest_record = record;
+  this->newest_read = this->now;
+  this->leadership.OnRead(record, read->end, this->now);
+}
+
+void OwnershipDuty::ApplyRecordedOwners(
+    const upstream::OwnershipRecord& record) {
+  // Change 0 is below every map that the leader of the term sends.
+  const OwnerMapVersion version{record.term, 0};
+  if (this->tables.owners && this->tables.owners->version >= version) return;
+  OwnerMap map{version, {}};
+  for (const auto& [service, rows] : record.services) {
+    std::vector<OwnedRange>& ranges = map.services[service];
+    for (const upstream::RecordedRange& row : rows) {
+      ranges.push_back({row.range, row.successor ? std::nullopt : row.holder});
+    }
+  }
+  this->tables.owners = std::make_shared<const OwnerMap>(std::move(map));
+  this->has_new_tables = true;
+}
+
+void OwnershipDuty::OnOwnershipAppended(const AppendOutcome& appended,
+                                        MonotonicTime sent) {
+  if (!appended) {
+    this->metrics.Count("ownership_append_failures");
+    this->Say(EventKind::kOwnership, "ownership_append_failed",
+              {{"detail", appended.error().detail}});
+    this->leadership.OnAppendFailed(sent, this->now);
+    return;
+  }
+  this->saved_change = std::max(this->saved_change, this->sent_change);
+  this->leadership.OnAppended(*appended, sent, this->now);
+  if (!this->is_release_sent) return;
+  this->is_release_sent = false;
+  this->wants_to_step_down = false;
+  this->leadership.StepDown(this->now + kStepDownTime);
+  peer::LeaderBeat beat;
+  beat.sender = this->identity.daemon;
+  beat.version = this->sent_version;
+  beat.has_resigned = true;
+  this->actions.emplace_back(peer::ToGossip(std::move(beat)));
+  this->Say(EventKind::kOwnership, "leadership_released",
+            {{"term", TextOf(this->leadership.OwnTerm())}});
+}
+
+void OwnershipDuty::OnDaemonsRead(const ReadOutcome& read) {
+  if (!read) {
+    this->next_directory_call = this->now + kDirectoryRetry;
+    return;
+  }
+  peer::SetPeers set;
+  for (const log_service::KeyedRecord& row : read->records) {
+    if (!row.value) continue;
+    const auto endpoint = EndpointFromText(*row.value);
+    if (endpoint) set.peers.push_back(*endpoint);
+  }
+  this->known_daemons = set.peers.size();
+  this->next_directory_call =
+      this->now + (this->known_daemons > 1 ? milliseconds(kDirectoryEvery)
+                                           : kDirectoryRetry);
+  this->actions.emplace_back(peer::ToGossip(std::move(set)));
+}
+
+void OwnershipDuty::CallStore() {
+  if (this->is_store_busy) return;
+  const bool is_leader =
+      this->leadership.GetRole() == RangeLeadership::Role::kLeader;
+  if (this->is_stopping && !is_leader) return;
+  const bool has_unsaved =
+      is_leader && this->keeper.Change() > this->saved_change;
+  const RangeLeadership::Wish wish =
+      this->leadership.Next(this->now, has_unsaved);
+  if (wish == RangeLeadership::Wish::kNothing) {
+    this->CallForDirectory();
+    return;
+  }
+  this->is_store_busy = true;
+  if (wish == RangeLeadership::Wish::kRead) {
+    this->actions.emplace_back(StoreCall{
+        this->now + kStoreLimit, log_service::ReadTopic{Topic::kOwnership}});
+    return;
+  }
+  this->AppendOwnership(wish);
+}
+
+void OwnershipDuty::AppendOwnership(RangeLeadership::Wish wish) {
+  upstream::OwnershipRecord record;
+  record.term = this->leadership.OwnTerm();
+  record.leader = this->identity.daemon;
+  record.instance = this->identity.instance;
+  if (wish == RangeLeadership::Wish::kClaim) {
+    if (this->newest_record) record.services = this->newest_record->services;
+    this->sent_change = 0;
+  } else {
+    record.change = this->keeper.Change();
+    record.services = this->keeper.ToRecord();
+    const bool is_calm = std::none_of(
+        record.services.begin(), record.services.end(),
+        [this](const auto& item) { return this->keeper.IsBusy(item.first); });
+    record.is_released =
+        this->wants_to_step_down || (this->is_stopping && is_calm);
+    this->is_release_sent = record.is_released;
+    if (record.is_released) {
+      this->leadership.SuspendMandate();
+      record.leases_left = std::max(
+          milliseconds(0), std::chrono::ceil<milliseconds>(
+                               this->keeper.LastLeaseEnd() - this->now));
+    }
+    this->sent_change = record.change;
+  }
+  this->actions.emplace_back(StoreCall{
+      this->now + kStoreLimit, KeyedAppend{Topic::kOwnership,
+                                           {std::string(kOwnershipKey),
+                                            upstream::EncodeOwnership(record)},
+                                           this->leadership.ExpectedEnd()}});
+}
+
+void OwnershipDuty::CallForDirectory() {
+  if (this->is_stopping || this->now < this->next_directory_call) return;
+  this->is_store_busy = true;
+  if (this->is_registered) {
+    this->actions.emplace_back(StoreCall{
+        this->now + kStoreLimit, log_service::ReadTopic{Topic::kDaemons}});
+    return;
+  }
+  this->actions.emplace_back(StoreCall{
+      this->now + kStoreLimit,
+      KeyedAppend{
+          Topic::kDaemons,
+          {this->identity.daemon.value, ToText(this->identity.gossip_endpoint)},
+          std::nullopt}});
+}
+
+}  // namespace bamboorack::daemon
--- /dev/null
+++ b/lib/daemon/ownership_duty_topics.cc
@@ -0,0 +1,174 @@
+#include <utility>
+
+#include "bamboorack/core/text_of.h"
+#include "bamboorack/daemon/ownership_duty.h"
+
+// What the daemon reads of the desired state and the registry, and passes on.
+
+namespace bamboorack::daemon {
+namespace {
+
+using log_service::Topic;
+using std::chrono::milliseconds;
+using upstream::RangeLeadership;
+
+// A read of the desired state waits for a change for 1.5 s, and may take 0.8 s
+// longer on a slow log.
+constexpr milliseconds kDesiredStateAge{2'300};
+// More changes than this do not fit a datagram for certain.
+constexpr std::size_t kMaxRelayed = 60;
+
+}  // namespace
+
+DutyActions OwnershipDuty::OnTopic(const log_service::TopicUpdate& update,
+                                   MonotonicTime time) {
+  this->now = time;
+  this->NoteStoreContact(update);
+  if (!update.failure) {
+    this->Relay(update);
+    if (update.topic == Topic::kDesiredState) this->ApplyDesiredState(update);
+    if (update.topic == Topic::kUpstreams) this->ApplyUpstreams(update);
+  }
+  return this->Take();
+}
+
+void OwnershipDuty::NoteStoreContact(const log_service::TopicUpdate& update) {
+  const bool is_up = !update.failure;
+  if (update.topic == Topic::kUpstreams && !is_up) {
+    this->registry.NoteFailure(this->now);
+  }
+  // A relay tells of the log, but not that it can be reached from here.
+  if (update.is_relayed) return;
+  if (update.topic == Topic::kUpstreams && is_up) {
+    this->registry.NoteContact(this->now);
+    this->tables.upstreams_read = update.at;
+    this->has_new_tables = this->tables.upstreams != nullptr;
+  }
+  const auto [known, is_new] =
+      this->store_contact.try_emplace(update.topic, is_up);
+  if (!is_new && known->second == is_up) return;
+  known->second = is_up;
+  this->Say(EventKind::kProcess, is_up ? "log_regained" : "log_lost",
+            {{"topic", std::string(NameOf(update.topic))},
+             {"detail", update.failure.value_or("")}});
+}
+
+bool OwnershipDuty::IsNews(const log_service::KeyedRecord& record) {
+  if (!record.value) {
+    this->relayed.erase(record.key);
+    return true;
+  }
+  auto entry = this->documents->ReadUpstream(record.key, *record.value);
+  if (!entry) return true;
+  entry->warm_up_left = milliseconds(0);
+  const auto [known, is_new] = this->relayed.try_emplace(record.key, *entry);
+  if (!is_new && known->second == *entry) return false;
+  known->second = std::move(*entry);
+  return true;
+}
+
+void OwnershipDuty::Relay(const log_service::TopicUpdate& update) {
+  const bool is_leader =
+      this->leadership.GetRole() == RangeLeadership::Role::kLeader;
+  if (!is_leader || update.is_relayed) return;
+  peer::RecordRelay relay;
+  relay.topic = static_cast<std::uint8_t>(update.topic);
+  relay.from = update.from;
+  relay.end = update.end;
+  // A desired state may be larger than a datagram, and changes rarely.
+  if (update.topic == Topic::kUpstreams && !update.is_complete) {
+    relay.records.emplace();
+    for (const log_service::KeyedRecord& record : update.records) {
+      if (!this->IsNews(record)) continue;
+      relay.records->emplace_back(record.key, record.value);
+    }
+    if (relay.records->size() > kMaxRelayed) relay.records.reset();
+  }
+  if (update.topic == Topic::kDesiredState) {
+    this->desired_state_relay = relay;
+    this->desired_state_read = this->now;
+  } else if (this->now - this->desired_state_read < kDesiredStateAge) {
+    // Its reads wait for a change, longer than relays are trusted.
+    this->actions.emplace_back(peer::ToGossip(this->desired_state_relay));
+  }
+  this->actions.emplace_back(peer::ToGossip(std::move(relay)));
+}
+
+void OwnershipDuty::OnRelay(const peer::RecordRelay& relay) {
+  if (relay.topic >= log_service::kTopicNames.size()) return;
+  log_service::TopicRelay hint;
+  hint.topic = static_cast<Topic>(relay.topic);
+  hint.from = relay.from;
+  hint.end = relay.end;
+  hint.wants_read = relay.wants_read;
+  hint.has_records = relay.records.has_value();
+  if (relay.records) {
+    for (const auto& [key, value] : *relay.records) {
+      hint.records.push_back({key, value});
+    }
+  }
+  this->actions.emplace_back(std::move(hint));
+}
+
+void OwnershipDuty::AskForContact() {
+  const bool is_in_trouble = this->leadership.IsInTrouble(this->now);
+  const bool asks = is_in_trouble && !this->has_asked_for_contact;
+  this->has_asked_for_contact = is_in_trouble;
+  if (!asks) return;
+  peer::RecordRelay relay;
+  relay.topic = static_cast<std::uint8_t>(Topic::kUpstreams);
+  relay.wants_read = true;
+  this->actions.emplace_back(peer::ToGossip(std::move(relay)));
+}
+
+void OwnershipDuty::ApplyDesiredState(const log_service::TopicUpdate& update) {
+  for (const log_service::KeyedRecord& record : update.records) {
+    if (record.key != this->documents->DesiredStateKey() || !record.value) {
+      continue;
+    }
+    auto state = this->documents->ReadDesiredState(*record.value);
+    if (!state) {
+      this->metrics.Count("desired_states_rejected");
+      this->Say(EventKind::kBelief, "desired_state_rejected",
+                {{"detail", state.error()}});
+      continue;
+    }
+    if (this->tables.desired &&
+        state->version <= this->tables.desired->version) {
+      continue;
+    }
+    this->Say(EventKind::kBelief, "desired_state",
+              {{"version", TextOf(state->version)},
+               {"routes", std::to_string(state->routes.size())}});
+    this->tables.desired =
+        std::make_shared<const DesiredState>(std::move(*state));
+    this->has_new_tables = true;
+  }
+}
+
+void OwnershipDuty::ApplyUpstreams(const log_service::TopicUpdate& update) {
+  std::vector<RegisteredUpstream> all;
+  for (const log_service::KeyedRecord& record : update.records) {
+    const UpstreamId id(record.key);
+    if (!record.value) {
+      this->registry.Set(id, std::nullopt, this->now);
+      continue;
+    }
+    auto entry = this->documents->ReadUpstream(record.key, *record.value);
+    if (!entry) {
+      this->metrics.Count("upstream_entries_rejected");
+      this->Say(EventKind::kBelief, "upstream_entry_rejected",
+                {{"upstream", record.key}, {"detail", entry.error()}});
+      continue;
+    }
+    if (update.is_complete) {
+      all.push_back(std::move(*entry));
+    } else {
+      this->registry.Set(id, *entry, this->now);
+    }
+  }
+  if (update.is_complete) this->registry.Replace(all, this->now);
+  if (!this->tables.upstreams) this->PublishTables();
+}
+
+}  // namespace bamboorack::daemon
--- a/tools/fakes/platform_store/platform_store.h
+++ b/tools/fakes/platform_store/platform_store.h
@@ -1,6 +1,10 @@
 #ifndef BAMBOORACK_TOOLS_FAKES_PLATFORM_STORE_PLATFORM_STORE_H_
 #define BAMBOORACK_TOOLS_FAKES_PLATFORM_STORE_PLATFORM_STORE_H_
 
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
@@ -11,12 +15,6 @@
 #include <string>
 #include <vector>
 
-namespace Poco::Net {
-class HTTPServer;
-class HTTPServerRequest;
-class HTTPServerResponse;
-}  // namespace Poco::Net
-
 namespace bamboorack::fakes {
 
 /// What the store does to calls instead of serving them.
--- a/tools/fakes/platform_upstream/platform_upstream.h
+++ b/tools/fakes/platform_upstream/platform_upstream.h
@@ -1,6 +1,10 @@
 #ifndef BAMBOORACK_TOOLS_FAKES_PLATFORM_UPSTREAM_PLATFORM_UPSTREAM_H_
 #define BAMBOORACK_TOOLS_FAKES_PLATFORM_UPSTREAM_PLATFORM_UPSTREAM_H_
 
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -12,12 +16,6 @@
 #include <utility>
 #include <vector>
 
-namespace Poco::Net {
-class HTTPServer;
-class HTTPServerRequest;
-class HTTPServerResponse;
-}  // namespace Poco::Net
-
 namespace bamboorack::fakes {
 
 struct PlatformUpstreamSettings {
