soak: keep what speaks the platform's names in folders called so, NFC

Cause: the soak writes to the stand-in store and speaks the platform's names. Change: tools/platform_soak and unittests/platform_soak. Measured: builds, its tests pass.

--- a/tools/soak/checks.cc
+++ b/tools/platform_soak/checks.cc
@@ -1,4 +1,4 @@
-#include "soak/checks.h"
+#include "platform_soak/checks.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
--- a/tools/soak/checks.h
+++ b/tools/platform_soak/checks.h
@@ -1,5 +1,5 @@
-#ifndef BAMBOORACK_TOOLS_SOAK_CHECKS_H_
-#define BAMBOORACK_TOOLS_SOAK_CHECKS_H_
+#ifndef BAMBOORACK_TOOLS_PLATFORM_SOAK_CHECKS_H_
+#define BAMBOORACK_TOOLS_PLATFORM_SOAK_CHECKS_H_
 
 #include <chrono>
 #include <cstdint>
@@ -55,4 +55,4 @@
 
 }  // namespace bamboorack::soak
 
-#endif  // BAMBOORACK_TOOLS_SOAK_CHECKS_H_
+#endif  // BAMBOORACK_TOOLS_PLATFORM_SOAK_CHECKS_H_
--- a/tools/soak/cluster.cc
+++ b/tools/platform_soak/cluster.cc
@@ -1,4 +1,4 @@
-#include "soak/cluster.h"
+#include "platform_soak/cluster.h"
 
 #include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/ServerSocket.h>
--- a/tools/soak/cluster.h
+++ b/tools/platform_soak/cluster.h
@@ -1,14 +1,14 @@
-#ifndef BAMBOORACK_TOOLS_SOAK_CLUSTER_H_
-#define BAMBOORACK_TOOLS_SOAK_CLUSTER_H_
+#ifndef BAMBOORACK_TOOLS_PLATFORM_SOAK_CLUSTER_H_
+#define BAMBOORACK_TOOLS_PLATFORM_SOAK_CLUSTER_H_
 
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "soak/checks.h"
-#include "soak/process.h"
-#include "soak/tcp_proxy.h"
+#include "platform_soak/checks.h"
+#include "platform_soak/process.h"
+#include "platform_soak/tcp_proxy.h"
 
 namespace bamboorack::soak {
 
@@ -89,4 +89,4 @@
 
 }  // namespace bamboorack::soak
 
-#endif  // BAMBOORACK_TOOLS_SOAK_CLUSTER_H_
+#endif  // BAMBOORACK_TOOLS_PLATFORM_SOAK_CLUSTER_H_
--- a/tools/soak/main.cc
+++ b/tools/platform_soak/main.cc
@@ -19,8 +19,8 @@
 #include <thread>
 #include <vector>
 
-#include "soak/checks.h"
-#include "soak/cluster.h"
+#include "platform_soak/checks.h"
+#include "platform_soak/cluster.h"
 
 namespace {
 
--- a/tools/soak/process.cc
+++ b/tools/platform_soak/process.cc
@@ -1,4 +1,4 @@
-#include "soak/process.h"
+#include "platform_soak/process.h"
 
 #include <fcntl.h>
 #include <signal.h>
--- a/tools/soak/process.h
+++ b/tools/platform_soak/process.h
@@ -1,5 +1,5 @@
-#ifndef BAMBOORACK_TOOLS_SOAK_PROCESS_H_
-#define BAMBOORACK_TOOLS_SOAK_PROCESS_H_
+#ifndef BAMBOORACK_TOOLS_PLATFORM_SOAK_PROCESS_H_
+#define BAMBOORACK_TOOLS_PLATFORM_SOAK_PROCESS_H_
 
 #include <sys/types.h>
 
@@ -33,4 +33,4 @@
 
 }  // namespace bamboorack::soak
 
-#endif  // BAMBOORACK_TOOLS_SOAK_PROCESS_H_
+#endif  // BAMBOORACK_TOOLS_PLATFORM_SOAK_PROCESS_H_
--- a/tools/soak/tcp_proxy.cc
+++ b/tools/platform_soak/tcp_proxy.cc
@@ -1,4 +1,4 @@
-#include "soak/tcp_proxy.h"
+#include "platform_soak/tcp_proxy.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
--- a/tools/soak/tcp_proxy.h
+++ b/tools/platform_soak/tcp_proxy.h
@@ -1,5 +1,5 @@
-#ifndef BAMBOORACK_TOOLS_SOAK_TCP_PROXY_H_
-#define BAMBOORACK_TOOLS_SOAK_TCP_PROXY_H_
+#ifndef BAMBOORACK_TOOLS_PLATFORM_SOAK_TCP_PROXY_H_
+#define BAMBOORACK_TOOLS_PLATFORM_SOAK_TCP_PROXY_H_
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
@@ -65,4 +65,4 @@
 
 }  // namespace bamboorack::soak
 
-#endif  // BAMBOORACK_TOOLS_SOAK_TCP_PROXY_H_
+#endif  // BAMBOORACK_TOOLS_PLATFORM_SOAK_TCP_PROXY_H_
--- a/unittests/soak/checks_test.cc
+++ b/unittests/platform_soak/checks_test.cc
@@ -1,4 +1,4 @@
-#include "soak/checks.h"
+#include "platform_soak/checks.h"
 
 #include <catch2/catch.hpp>
 #include <chrono>
