upstream: fence an unanswered grant also at an upstream that left the registry

Cause: found in the read-through: a holder that vanishes from the registry while a grant to it is unanswered was released without a fence, and the late grant could then make it hold the keys beside their next holder. Change: the fencing grant goes to a departed upstream too; if it is not answered, the keys wait for the end of the lease.

--- a/include/bamboorack/upstream/range_keeper.h
+++ b/include/bamboorack/upstream/range_keeper.h
@@ -146,6 +146,8 @@
     /// After a change of leader in the middle of a move: the successor may
     /// hold the keys too and has not let go yet.
     bool must_release_successor = false;
+    /// The move was begun by a predecessor.
+    bool is_taken_over = false;
     bool holder_released = false;
     std::uint64_t needs_change = 0;
     /// Grants in a row that were written and not answered.
--- a/lib/upstream/range_keeper.cc
+++ b/lib/upstream/range_keeper.cc
@@ -81,6 +81,7 @@
       if (row.successor) {
         range.successor = row.successor;
         range.must_release_successor = true;
+        range.is_taken_over = true;
         range.phase = Phase::kReleasing;
       } else {
         range.phase = row.holder ? Phase::kHeld : Phase::kFree;
@@ -281,7 +282,8 @@
   }
   // An unanswered grant could be carried out after the release, so it is
   // fenced first by one that is answered.
-  if (range.has_unanswered_grant && this->Find(*range.holder) != nullptr &&
+  if (range.has_unanswered_grant &&
+      this->EndpointOf(*range.holder) != nullptr &&
       range.unanswered < kMaxUnanswered) {
     if (this->step_time >= range.next_call) {
       this->SendGrant(service, range, *range.holder);
@@ -298,7 +300,10 @@
 void RangeKeeper::StepReleasing(const ServiceName& service, Range& range) {
   const bool holder_gone = !range.holder || range.holder_released;
   const bool successor_gone = !range.must_release_successor;
-  if (holder_gone && successor_gone) {
+  // A grant that was not answered and not fenced may be carried out after the
+  // release. After a change of leader nothing is known of such grants.
+  const bool is_proof = !range.has_unanswered_grant || range.is_taken_over;
+  if (holder_gone && successor_gone && is_proof) {
     this->LetGo(service, range, "released");
     return;
   }
@@ -307,6 +312,7 @@
     this->LetGo(service, range, "lease_ran_out");
     return;
   }
+  if (holder_gone && successor_gone) return;
   if (range.call || this->step_time < range.next_call) return;
   const UpstreamRun& target = holder_gone ? *range.successor : *range.holder;
   if (this->EndpointOf(target) == nullptr) return;
@@ -347,6 +353,7 @@
   range.holder.reset();
   range.has_unanswered_grant = false;
   range.must_release_successor = false;
+  range.is_taken_over = false;
   range.holder_released = false;
   range.call.reset();
   range.unanswered = 0;
--- a/unittests/upstream/range_keeper_test.cc
+++ b/unittests/upstream/range_keeper_test.cc
@@ -132,6 +132,23 @@
       }
     }
 
+    WHEN("a leaves the registry while a grant to it is unanswered") {
+      world.silent[UpstreamId("a")] = true;
+      world.Run(seconds(1));
+      const auto late = world.FailUnanswered();
+      REQUIRE_FALSE(late.empty());
+      world.silent.clear();
+      world.entries.erase(world.entries.begin());
+      world.keeper->SetUpstreams(world.entries, world.now);
+      world.Move(0, 65'535, "b");
+      world.Run(seconds(1));
+      REQUIRE(world.HoldersOf(100) == Names{"b"});
+      THEN("the late grant is refused, since a later one was answered first") {
+        for (const ControlCall& call : late) world.CarryOut(call, world.now);
+        CHECK(world.HoldersOf(100) == Names{"b"});
+      }
+    }
+
     WHEN("a's address has another upstream") {
       world.Move(0, 65'535, "b");
       world.saved = world.keeper->Change();
