peer: read datagrams at any address

Cause: UndefinedBehaviorSanitizer: the receive buffer is not aligned, and FlatBuffers reads numbers in place. Change: a datagram is copied to aligned memory before it is read. Measured: the peer tests pass with address and undefined behaviour sanitizers.

--- a/lib/peer/gossip_codec.cc
+++ b/lib/peer/gossip_codec.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstring>
 #include <utility>
 #include <vector>
 
@@ -239,7 +240,10 @@
 }
 
 std::optional<ReceivedGossip> DecodeGossip(std::string_view bytes) {
-  const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+  // FlatBuffers reads numbers in place, and a datagram may lie anywhere.
+  std::vector<std::uint64_t> aligned(bytes.size() / sizeof(std::uint64_t) + 1);
+  std::memcpy(aligned.data(), bytes.data(), bytes.size());
+  const auto* data = reinterpret_cast<const std::uint8_t*>(aligned.data());
   flatbuffers::Verifier verifier(data, bytes.size());
   if (!gossip::VerifyDatagramBuffer(verifier)) return std::nullopt;
   const gossip::Datagram& datagram = *gossip::GetDatagram(data);
--- a/unittests/peer/gossip_thread_test.cc
+++ b/unittests/peer/gossip_thread_test.cc
@@ -84,6 +84,10 @@
     CHECK(decoded.lapsed->log_end == LogOffset(8));
     CHECK(decoded.lapsed->leases_left == milliseconds(4'000));
   }
+  SECTION("bytes at any address") {
+    const std::string shifted = "x" + EncodeGossip(kSource, MakeBeat());
+    CHECK(DecodeGossip(std::string_view(shifted).substr(1)).has_value());
+  }
   SECTION("bytes that are cut or changed") {
     const std::string bytes = EncodeGossip(kSource, MakeBeat());
     for (std::size_t length = 0; length < bytes.size(); length += 7) {
