core, upstream: drop what nothing reads, NFC

Cause: the read-through found UpstreamBoard::Slots and the registry's time of the last contact, which nothing has used since the lines and relays changed. Change: both are gone. Measured: release tests of core, upstream, daemon and platform pass, format, layout and clang-tidy of the changed files are clean; sanitizers not run again.

--- a/include/bamboorack/core/upstream_registry.h
+++ b/include/bamboorack/core/upstream_registry.h
@@ -55,8 +55,7 @@
   /// Takes the whole registry.
   void Replace(const std::vector<RegisteredUpstream>& entries,
                MonotonicTime now);
-  /// Tells that a call to the registry was answered, or that one failed.
-  void NoteContact(MonotonicTime now) { this->last_contact = now; }
+  /// Tells that a call to the registry failed.
   void NoteFailure(MonotonicTime now);
 
   /// Drops entries whose time has run out. Returns whether the usable entries
@@ -76,7 +75,6 @@
   void MarkMissing(Row& row, MonotonicTime now);
 
   std::map<UpstreamId, Row> rows;
-  std::optional<MonotonicTime> last_contact;
   std::optional<MonotonicTime> last_failure;
   bool has_changed = false;
 };
--- a/include/bamboorack/upstream/upstream_board.h
+++ b/include/bamboorack/upstream/upstream_board.h
@@ -75,8 +75,6 @@
                                    MonotonicTime now);
   /// Whether the service has an upstream that is not draining.
   bool HasAny(const ServiceName& service) const;
-  /// The requests that all upstreams of a service may have in hand together.
-  double Slots(const ServiceName& service) const;
 
   std::uint32_t OwnInFlight(const UpstreamId& id) const;
   /// Latency against the mean; 1 is average, 0 if nothing was learned.
--- a/lib/daemon/ownership_duty_topics.cc
+++ b/lib/daemon/ownership_duty_topics.cc
@@ -40,7 +40,6 @@
   // A relay tells of the log, but not that it can be reached from here.
   if (update.is_relayed) return;
   if (update.topic == Topic::kUpstreams && is_up) {
-    this->registry.NoteContact(this->now);
     this->tables.upstreams_read = update.at;
     this->has_new_tables = this->tables.upstreams != nullptr;
   }
--- a/lib/upstream/upstream_board.cc
+++ b/lib/upstream/upstream_board.cc
@@ -267,15 +267,6 @@
                      });
 }
 
-double UpstreamBoard::Slots(const ServiceName& service) const {
-  double slots = 0;
-  for (const auto& [id, row] : this->rows) {
-    if (row.entry.service != service || row.entry.is_draining) continue;
-    slots += row.entry.slots;
-  }
-  return slots;
-}
-
 std::uint32_t UpstreamBoard::OwnInFlight(const UpstreamId& id) const {
   const auto found = this->rows.find(id);
   return found == this->rows.end() ? 0 : found->second.in_flight;
