upstream: a record tells whether a grant is left unanswered

Cause: after a change of leader in the middle of a move, the answers of holder and successor to a release counted as proof, although a grant of the former leader could be carried out afterwards. The new test "the leader changes while a grant to a is unanswered" showed two holders.

Change: the record of a move says whether a grant to the holder is unanswered. No grant is sent to the holder while the record names a successor and says that none is left, so a later leader knows whether the answer to its own release is a proof. The successor is no longer asked to release: it is granted the keys with a higher token, or its lease is waited for. Records without the field are read as unsafe.

--- a/include/bamboorack/upstream/ownership_record.h
+++ b/include/bamboorack/upstream/ownership_record.h
@@ -20,7 +20,10 @@
   /// Empty if the keys are held by nobody.
   std::optional<UpstreamRun> holder;
   /// Set while the keys move: they may already be held there.
-  std::optional<UpstreamRun> successor;
+    std::optional<UpstreamRun> successor;
+  /// Of keys that move: a grant to the holder was not answered and may be
+  /// carried out later. If not, none is sent to it while the move lasts.
+  bool has_unanswered_grant = false;
 
   bool operator==(const RecordedRange&) const = default;
 };
--- a/include/bamboorack/upstream/range_keeper.h
+++ b/include/bamboorack/upstream/range_keeper.h
@@ -17,6 +17,7 @@
 #include "bamboorack/core/upstream_registry.h"
 #include "bamboorack/upstream/messages.h"
 #include "bamboorack/upstream/ownership_record.h"
+#include "bamboorack/upstream/range_rules.h"
 
 namespace bamboorack::upstream {
 
@@ -64,11 +65,14 @@
 /// was meant for a run that has ended may reach the next run under its id,
 /// which therefore takes the place of the former one. A grant that was not
 /// answered may be carried out seconds later, so the next order has a higher
-/// token, which fences it.
+/// token, which fences it. The record of a move says whether such a grant to
+/// the holder is left, and none is sent while the move lasts, so a successor
+/// in the lead knows whether the answer to its own release is a proof.
 class RangeKeeper {
  public:
-  explicit RangeKeeper(const RangeLeases& range_leases)
-      : leases(range_leases) {}
+  explicit RangeKeeper(const RangeLeases& range_leases,
+                       const RangeRules& range_rules = kRangeRules)
+      : leases(range_leases), rules(range_rules) {}
 
   /// Starts a term with what the last record says. No lease of the predecessor
   /// lasts longer than `leases_end`.
@@ -116,8 +120,7 @@
     kHeld,
     /// A move waits until the record names the successor.
     kSaving,
-    /// The holder, and after a change of leader also the successor, is asked
-    /// to let go.
+    /// The holder is asked to let go.
     kReleasing,
     /// The successor is being granted the keys.
     kGranting,
@@ -143,12 +146,11 @@
     /// A grant to the holder under this or an earlier token was not answered
     /// and may be carried out later.
     bool has_unanswered_grant = false;
-    /// After a change of leader in the middle of a move: the successor may
-    /// hold the keys too and has not let go yet.
-    bool must_release_successor = false;
-    /// The move was begun by a predecessor.
-    bool is_taken_over = false;
+    /// After a change of leader in the middle of a move: a grant of the
+    /// predecessor may make the successor hold the keys until then.
+    MonotonicTime successor_may_hold_until;
     bool holder_released = false;
+    /// Orders to the holder wait until this change is in the record.
     std::uint64_t needs_change = 0;
     /// Grants in a row that were written and not answered.
     int unanswered = 0;
@@ -201,6 +203,10 @@
                 std::string_view what);
   /// The holder lets go, proven: gives the keys to the successor or frees them.
   void LetGo(const ServiceName& service, Range& range, std::string_view what);
+  /// Waits for the end of a lease that the successor may hold and that cannot
+  /// be renewed or taken back.
+  void ExpireSuccessor(const ServiceName& service, Range& range,
+                       std::string_view what);
   void NoteReach(const UpstreamId& id, bool reached, MonotonicTime now);
   /// Splits the settled or free range that holds `first`, so that a range
   /// starts there.
@@ -208,6 +214,7 @@
   void MergeNeighbours(std::vector<Range>& ranges);
 
   const RangeLeases leases;
+  const RangeRules rules;
   Term term;
   FencingToken last_token;
   std::map<ServiceName, std::vector<Range>> services;
--- /dev/null
+++ b/include/bamboorack/upstream/range_rules.h
@@ -0,0 +1,59 @@
+#ifndef BAMBOORACK_UPSTREAM_RANGE_RULES_H_
+#define BAMBOORACK_UPSTREAM_RANGE_RULES_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "bamboorack/core/ids.h"
+#include "bamboorack/core/time.h"
+#include "bamboorack/upstream/ownership_record.h"
+
+namespace bamboorack::upstream {
+
+/// The rules that the safety of a move of keys rests on. Tests replace one of
+/// them to show that two holders follow.
+struct RangeRules {
+  /// When a lease for `lease` whose grant was sent at `sent` is over on every
+  /// clock.
+  MonotonicTime (*lease_end)(MonotonicTime sent,
+                             std::chrono::milliseconds lease);
+  /// Whether an answered release proves that the upstream holds nothing.
+  bool (*is_release_proof)(bool has_unanswered_grant);
+  /// Whether an order that needs `needed_change` in the record may be sent.
+  bool (*may_order)(std::uint64_t saved_change, std::uint64_t needed_change);
+  /// Until when the successor of a move that a predecessor began may hold the
+  /// keys, if the predecessor's leases end at `leases_end`.
+  MonotonicTime (*successor_end)(MonotonicTime leases_end);
+
+  /// The first fencing token of a term.
+  FencingToken (*first_token)(Term term);
+};
+
+/// An upstream's clock may measure a lease 2 % too long.
+inline constexpr int kLeaseDriftPercent = 2;
+/// The way of an order to an upstream.
+inline constexpr std::chrono::milliseconds kOrderTravel{150};
+
+inline MonotonicTime EndOfLease(MonotonicTime sent,
+                                std::chrono::milliseconds lease) {
+  return sent + lease + lease * kLeaseDriftPercent / 100 + kOrderTravel;
+}
+
+inline bool IsReleaseProof(bool has_unanswered_grant) {
+  return !has_unanswered_grant;
+}
+
+inline bool MayOrder(std::uint64_t saved_change, std::uint64_t needed_change) {
+  return saved_change >= needed_change;
+}
+
+inline MonotonicTime EndOfSuccessor(MonotonicTime leases_end) {
+  return leases_end;
+}
+
+inline constexpr RangeRules kRangeRules = {
+    &EndOfLease, &IsReleaseProof, &MayOrder, &EndOfSuccessor, &FirstTokenOf};
+
+}  // namespace bamboorack::upstream
+
+#endif  // BAMBOORACK_UPSTREAM_RANGE_RULES_H_
--- a/lib/upstream/ownership_codec.cc
+++ b/lib/upstream/ownership_codec.cc
@@ -15,12 +15,15 @@
 
 // A range is an array of its keys, the holder and the successor, so that the
 // record of a large service stays small: [first, last, holder, life,
-// successor, life]. Runs that are missing have an empty id.
+// successor, life, has_unanswered_grant]. Runs that are missing have an empty
+// id. Records of version 0.1 end before the last field.
 constexpr unsigned kFirst = 0;
 constexpr unsigned kLast = 1;
 constexpr unsigned kHolder = 2;
 constexpr unsigned kSuccessor = 4;
-constexpr unsigned kRangeFields = 6;
+constexpr unsigned kUnansweredGrant = 6;
+constexpr unsigned kRangeFields = 7;
+constexpr unsigned kFormerRangeFields = 6;
 
 void AddRun(Array& row, const std::optional<UpstreamRun>& run) {
   row.add(run ? run->id.value : std::string());
@@ -40,17 +43,25 @@
   return ShardKey(static_cast<std::uint16_t>(key));
 }
 
+// A record without the field does not say that the grants are answered.
+bool ReadUnansweredGrant(const Array& row) {
+  if (row.size() == kFormerRangeFields) return true;
+  return row.getElement<bool>(kUnansweredGrant);
+}
+
 std::vector<RecordedRange> ReadRanges(const Array& rows) {
   std::vector<RecordedRange> ranges;
   ranges.reserve(rows.size());
   for (unsigned i = 0; i < rows.size(); ++i) {
     const Array::Ptr row = rows.getArray(i);
-    if (row.isNull() || row->size() != kRangeFields) {
-      throw Poco::DataFormatException("range without its six fields");
+    if (row.isNull() ||
+        (row->size() != kRangeFields && row->size() != kFormerRangeFields)) {
+      throw Poco::DataFormatException("range without its seven fields");
     }
     ranges.push_back({{ReadKey(*row, kFirst), ReadKey(*row, kLast)},
                       ReadRun(*row, kHolder),
-                      ReadRun(*row, kSuccessor)});
+                      ReadRun(*row, kSuccessor),
+                      ReadUnansweredGrant(*row)});
   }
   return ranges;
 }
@@ -67,6 +78,7 @@
       row->add(range.range.last.value);
       AddRun(*row, range.holder);
       AddRun(*row, range.successor);
+      row->add(range.has_unanswered_grant);
       rows->add(row);
     }
     services.set(service.value, rows);
--- a/lib/upstream/range_keeper.cc
+++ b/lib/upstream/range_keeper.cc
@@ -11,10 +11,7 @@
 
 // A lease is renewed when this share of it is left, in percent.
 constexpr int kRenewAtPercent = 70;
-// An upstream's clock may measure a lease 2 % too long.
-constexpr int kClockDriftPercent = 2;
-// The way of an order to an upstream.
-constexpr milliseconds kOrderTravel{150};
+
 // From a change of the owner map until all daemons know it.
 constexpr milliseconds kNewsTravel{150};
 constexpr milliseconds kGrantLimit{400};
@@ -33,10 +30,6 @@
 // Beyond this many ranges a service is not split any further.
 constexpr std::size_t kMaxRanges = 2'000;
 
-milliseconds LongestHold(milliseconds lease) {
-  return lease + lease * kClockDriftPercent / 100 + kOrderTravel;
-}
-
 }  // namespace
 
 // Indexed by phase.
@@ -46,7 +39,7 @@
     &RangeKeeper::StepGranting, &RangeKeeper::StepExpiring};
 
 MonotonicTime RangeKeeper::LatestLeaseEnd(MonotonicTime now) const {
-  return now + LongestHold(this->leases.longest);
+  return this->rules.lease_end(now, this->leases.longest);
 }
 
 MonotonicTime RangeKeeper::LastLeaseEnd() const {
@@ -62,7 +55,7 @@
 void RangeKeeper::TakeOver(const OwnershipRecord& record, Term new_term,
                            MonotonicTime leases_end, MonotonicTime now) {
   this->term = new_term;
-  this->last_token = FirstTokenOf(new_term);
+  this->last_token = this->rules.first_token(new_term);
   this->services.clear();
   this->reach.clear();
   this->map_change = 0;
@@ -77,13 +70,13 @@
       range.token = this->DrawToken();
       range.next_call = now;
       range.may_hold_until = leases_end;
-      range.has_unanswered_grant = true;
       if (row.successor) {
         range.successor = row.successor;
-        range.must_release_successor = true;
-        range.is_taken_over = true;
+        range.successor_may_hold_until = this->rules.successor_end(leases_end);
+        range.has_unanswered_grant = row.holder && row.has_unanswered_grant;
         range.phase = Phase::kReleasing;
       } else {
+        range.has_unanswered_grant = true;
         range.phase = row.holder ? Phase::kHeld : Phase::kFree;
       }
     }
@@ -143,9 +136,10 @@
   const bool has_new_holder = this->FollowRun(range.holder);
   const bool has_new_successor = this->FollowRun(range.successor);
   if (!has_new_holder && !has_new_successor) return;
-  ++this->change;
+  range.needs_change = ++this->change;
   this->has_new_map = true;
-  range.has_unanswered_grant = true;
+  // No grant is sent to the holder while it is asked to let go.
+  if (range.phase != Phase::kReleasing) range.has_unanswered_grant = true;
   range.unanswered = 0;
   range.next_call = this->step_time;
 }
@@ -262,16 +256,18 @@
     return;
   }
   if (!is_listed || range.unanswered >= kMaxUnanswered) return;
+  if (!this->rules.may_order(this->saved, range.needs_change)) return;
   const bool extends = this->in_trouble && !range.is_extended;
   if (this->step_time < range.next_call && !extends) return;
   this->SendGrant(service, range, *range.holder);
 }
 
 void RangeKeeper::StepSaving(const ServiceName& service, Range& range) {
-  if (range.call || this->saved < range.needs_change) return;
+  if (range.call) return;
+  if (!this->rules.may_order(this->saved, range.needs_change)) return;
   if (this->Find(*range.successor) == nullptr) {
     range.successor.reset();
-    ++this->change;
+    range.needs_change = ++this->change;
     this->SetPhase(service, range, range.holder ? Phase::kHeld : Phase::kFree,
                    "successor_gone");
     return;
@@ -298,12 +294,11 @@
 }
 
 void RangeKeeper::StepReleasing(const ServiceName& service, Range& range) {
-  const bool holder_gone = !range.holder || range.holder_released;
-  const bool successor_gone = !range.must_release_successor;
+  const bool has_answered = !range.holder || range.holder_released;
   // A grant that was not answered and not fenced may be carried out after the
-  // release. After a change of leader nothing is known of such grants.
-  const bool is_proof = !range.has_unanswered_grant || range.is_taken_over;
-  if (holder_gone && successor_gone && is_proof) {
+  // release.
+  if (has_answered &&
+      this->rules.is_release_proof(range.has_unanswered_grant)) {
     this->LetGo(service, range, "released");
     return;
   }
@@ -312,15 +307,14 @@
     this->LetGo(service, range, "lease_ran_out");
     return;
   }
-  if (holder_gone && successor_gone) return;
-  if (range.call || this->step_time < range.next_call) return;
-  const UpstreamRun& target = holder_gone ? *range.successor : *range.holder;
-  if (this->EndpointOf(target) == nullptr) return;
+  if (has_answered || range.call || this->step_time < range.next_call) return;
+  if (this->EndpointOf(*range.holder) == nullptr) return;
   const MonotonicTime deadline = std::min(
       range.may_hold_until, this->step_time + milliseconds(kReleaseLimit));
   range.token = this->DrawToken();
-  this->Send(service, range, target,
-             RangeReleaseCall{target.id, range.keys, range.token}, deadline);
+  this->Send(service, range, *range.holder,
+             RangeReleaseCall{range.holder->id, range.keys, range.token},
+             deadline);
 }
 
 void RangeKeeper::StepGranting(const ServiceName& service, Range& range) {
@@ -336,10 +330,14 @@
     this->LetGo(service, range, "successor_unreachable");
     return;
   }
-  // The successor may hold the keys by a grant that was not answered.
+  this->ExpireSuccessor(service, range, "grant_unanswered");
+}
+
+void RangeKeeper::ExpireSuccessor(const ServiceName& service, Range& range,
+                                  std::string_view what) {
   range.holder = std::exchange(range.successor, std::nullopt);
   ++this->change;
-  this->SetPhase(service, range, Phase::kExpiring, "grant_unanswered");
+  this->SetPhase(service, range, Phase::kExpiring, what);
 }
 
 void RangeKeeper::StepExpiring(const ServiceName& service, Range& range) {
@@ -351,20 +349,25 @@
 void RangeKeeper::LetGo(const ServiceName& service, Range& range,
                         std::string_view what) {
   range.holder.reset();
-  range.has_unanswered_grant = false;
-  range.must_release_successor = false;
-  range.is_taken_over = false;
   range.holder_released = false;
+  range.may_hold_until =
+      std::max(this->step_time, range.successor_may_hold_until);
+  // The predecessor may have granted the keys to the successor.
+  range.has_unanswered_grant = this->step_time < range.may_hold_until;
   range.call.reset();
   range.unanswered = 0;
   range.failed_attempts = 0;
   range.is_extended = false;
   range.next_call = this->step_time;
-  range.may_hold_until = this->step_time;
   if (range.successor && this->Find(*range.successor) != nullptr) {
     this->SetPhase(service, range, Phase::kGranting, what);
     return;
   }
+  if (range.successor && range.has_unanswered_grant) {
+    this->ExpireSuccessor(service, range, what);
+    return;
+  }
+
   range.successor.reset();
   ++this->change;
   this->SetPhase(service, range, Phase::kFree, what);
@@ -394,8 +397,9 @@
   range.call_lease =
       this->in_trouble ? this->leases.longest : this->leases.ordinary;
   range.held_before_call = range.may_hold_until;
-  range.may_hold_until = std::max(
-      range.may_hold_until, this->step_time + LongestHold(range.call_lease));
+  range.may_hold_until =
+      std::max(range.may_hold_until,
+               this->rules.lease_end(this->step_time, range.call_lease));
   range.is_extended = this->in_trouble;
   this->Send(service, range, to,
              RangeGrantCall{to.id, range.keys, range.token, range.call_lease,
@@ -443,6 +447,7 @@
   if (range.phase != Phase::kGranting) return;
   range.holder = std::exchange(range.successor, std::nullopt);
   range.handover = Handover();
+  range.successor_may_hold_until = MonotonicTime();
   ++this->change;
   this->SetPhase(service, range, Phase::kHeld, "granted");
 }
@@ -475,11 +480,7 @@
     const auto& answer = std::get<RangeReleaseAnswer>(*result.answer);
     if (!answer.handover.IsEmpty()) range.handover = answer.handover;
   }
-  if (range.holder && !range.holder_released) {
-    range.holder_released = true;
-  } else {
-    range.must_release_successor = false;
-  }
+  range.holder_released = true;
 }
 
 void RangeKeeper::NoteReach(const UpstreamId& id, bool reached,
@@ -518,7 +519,10 @@
   std::map<ServiceName, std::vector<RecordedRange>> recorded;
   for (const auto& [service, ranges] : this->services) {
     for (const Range& range : ranges) {
-      recorded[service].push_back({range.keys, range.holder, range.successor});
+      const bool is_moving =
+          range.phase == Phase::kSaving || range.phase == Phase::kReleasing;
+      recorded[service].push_back({range.keys, range.holder, range.successor,
+                                   is_moving && range.has_unanswered_grant});
     }
   }
   return recorded;
@@ -536,8 +540,9 @@
       const bool is_serving =
           range.phase == Phase::kHeld || range.phase == Phase::kSaving ||
           range.phase == Phase::kExpiring ||
-          (range.phase == Phase::kReleasing && !range.must_release_successor &&
-           range.holder && this->IsUnreachable(*range.holder, now));
+          (range.phase == Phase::kReleasing &&
+           range.successor_may_hold_until <= now && range.holder &&
+           this->IsUnreachable(*range.holder, now));
       if (is_serving && now < range.may_hold_until) row.owner = range.holder;
       map.services[service].push_back(row);
     }
--- a/unittests/upstream/range_keeper_test.cc
+++ b/unittests/upstream/range_keeper_test.cc
@@ -194,6 +194,51 @@
       }
     }
 
+    WHEN("the leader changes while a grant to a is unanswered") {
+      world.silent[UpstreamId("a")] = true;
+      world.Run(seconds(1));
+      const auto late = world.FailUnanswered();
+      REQUIRE_FALSE(late.empty());
+      world.silent.clear();
+      world.Move(0, 65'535, "b");
+      world.Elect(world.Record());
+      world.Run(milliseconds(500));
+      THEN("a's release is no proof, since the grant may follow it") {
+        for (const ControlCall& call : late) world.CarryOut(call, world.now);
+        CHECK(world.HoldersOf(100).size() <= 1);
+        AND_THEN("and b gets the keys when every lease has run out") {
+          world.Run(seconds(11));
+          CHECK(world.HoldersOf(100) == Names{"b"});
+        }
+      }
+    }
+
+    WHEN("the leader changes while a grant to b is unanswered") {
+      world.Move(0, 65'535, "b");
+      const OwnershipRecord record = world.Record();
+      world.silent[UpstreamId("b")] = true;
+      world.Run(milliseconds(300));
+      const auto late = world.FailUnanswered();
+      REQUIRE_FALSE(late.empty());
+      world.silent.clear();
+      world.Elect(record);
+      SECTION("and b can be reached: a grant with a higher token fences it") {
+        world.Run(milliseconds(300));
+        CHECK(world.HoldersOf(100) == Names{"b"});
+        world.Move(0, 65'535, "a");
+        world.Run(milliseconds(500));
+      }
+      SECTION("and b cannot be reached: the keys wait for its lease") {
+        world.unreachable[UpstreamId("b")] = true;
+        for (int i = 0; i < 10; ++i) {
+          world.Run(milliseconds(300));
+          world.Move(0, 65'535, "a");
+        }
+      }
+      for (const ControlCall& call : late) world.CarryOut(call, world.now);
+      CHECK(world.HoldersOf(100).size() <= 1);
+    }
+
     WHEN("the leader is about to lose the log") {
       world.in_trouble = true;
       world.Run(milliseconds(100));
