unittests: fuzz of moves of ranges, with a mutation for each rule

Cause: the ownership fuzz covers the product's own path only; moves of ranges had single scenarios.

The oracle finds two holders and tokens that are too low; after the faults end, all keys must be held.

Ruled out: drawing step kinds with inRange(0, 13), which RapidCheck scales with the size, so that the last kinds were never drawn and a mutation passed.

--- /dev/null
+++ b/unittests/upstream/range_script.cc
@@ -0,0 +1,266 @@
+#include "upstream/range_script.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace bamboorack::upstream::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kUpstreams = 3;
+// Every answer that is due has come, or failed, after this time.
+constexpr milliseconds kAnswerLimit{400};
+// The longest lease with its drift, and a move.
+constexpr seconds kLongestWait{14};
+// A key of each range that the scripts move, and the ends.
+constexpr std::array<std::uint16_t, 4> kWatchedKeys = {0, 20'000, 40'000,
+                                                       65'535};
+constexpr std::array<KeyRange, 4> kMovedRanges = {
+    KeyRange{kFirstKey, kLastKey}, KeyRange{kFirstKey, ShardKey(29'999)},
+    KeyRange{ShardKey(15'000), ShardKey(44'999)},
+    KeyRange{ShardKey(30'000), kLastKey}};
+
+/// Runs the steps of a script on a world and watches who holds keys.
+class ScriptRunner {
+ public:
+  explicit ScriptRunner(const RangeOptions& options)
+      : world({"a", "b", "c"}, options.rules) {
+    for (auto& [id, upstream] : this->world.upstreams) {
+      upstream.refuses_stale_tokens = options.refuses_stale_tokens;
+    }
+    this->world.Move(0, kLastKey.value, "a");
+    this->Wait(milliseconds(500));
+  }
+
+  RangeOutcome Run(const RangeScript& script) {
+    for (const RangeStep& step : script) {
+      if (!this->outcome.violation.empty()) return this->outcome;
+      this->Apply(step);
+      this->Wait(step.wait);
+    }
+    this->Heal();
+    return this->outcome;
+  }
+
+ private:
+  using Action = void (ScriptRunner::*)(const RangeStep&);
+  static const std::array<Action, 20> kActions;
+
+  void Apply(const RangeStep& step) {
+    (this->*kActions.at(step.kind % kActions.size()))(step);
+  }
+
+  UpstreamId IdOf(std::uint32_t number) const {
+    const auto at = static_cast<std::ptrdiff_t>(number % kUpstreams);
+    return std::next(this->world.upstreams.begin(), at)->first;
+  }
+
+  void Move(const RangeStep& step) {
+    const KeyRange& keys = kMovedRanges.at(step.first % kMovedRanges.size());
+    const UpstreamId to = this->IdOf(step.second);
+    for (const RegisteredUpstream& entry : this->world.entries) {
+      if (entry.run.id != to) continue;
+      this->world.keeper->Move(kService, {keys, entry.run});
+    }
+  }
+  /// The upstream takes orders and neither answers nor carries them out.
+  void Silence(const RangeStep& step) {
+    this->world.silent[this->IdOf(step.first)] = true;
+  }
+  void EndSilence(const RangeStep& step) {
+    this->world.silent.erase(this->IdOf(step.first));
+  }
+  /// Silence that lasts for about one renewal. In half of the steps a move and
+  /// a change of leader follow.
+  void LeaveGrantUnanswered(const RangeStep& step) {
+    this->Silence(step);
+    this->Wait(milliseconds(300 + step.second % 1'000));
+    this->EndSilence(step);
+    if (step.second % 2 == 0) return;
+    this->Move({0, step.second / 2, step.first + 1, milliseconds(0)});
+    this->Wait(milliseconds(50));
+    this->Elect(step);
+  }
+  void Cut(const RangeStep& step) {
+    this->world.unreachable[this->IdOf(step.first)] = true;
+  }
+  void EndCut(const RangeStep& step) {
+    this->world.unreachable.erase(this->IdOf(step.first));
+  }
+  /// An order that was not answered is carried out now.
+  void CarryOutLate(const RangeStep& step) {
+    auto& late = this->world.late;
+    if (late.empty()) return;
+    const auto at =
+        late.begin() + static_cast<std::ptrdiff_t>(step.first % late.size());
+    const LateCall call = *at;
+    late.erase(at);
+    this->world.CarryOut(call.call, call.arrived);
+  }
+  /// The orders that the former process has not carried out go with it.
+  void Restart(const RangeStep& step) {
+    const UpstreamId id = this->IdOf(step.first);
+    this->world.upstreams[id].Restart();
+    std::erase_if(this->world.late, [&id](const LateCall& late) {
+      return late.call.upstream == id;
+    });
+  }
+  void RestartAndRegister(const RangeStep& step) {
+    this->Restart(step);
+    this->Wait(milliseconds(step.second % 1'000));
+    this->Register(step);
+  }
+  void Register(const RangeStep& step) {
+    const UpstreamId id = this->IdOf(step.first);
+    ++this->lives[id];
+    this->Unlist(id);
+    this->world.entries.push_back(MakeEntry(id.value, 1 + this->lives[id]));
+    this->Publish();
+  }
+  /// The entry of an upstream that lives is lost for a while.
+  void Lapse(const RangeStep& step) {
+    this->Unlist(this->IdOf(step.first));
+    this->Publish();
+  }
+  void Return(const RangeStep& step) {
+    const UpstreamId id = this->IdOf(step.first);
+    this->Unlist(id);
+    this->world.entries.push_back(MakeEntry(id.value, 1 + this->lives[id]));
+    this->Publish();
+  }
+  void Elect(const RangeStep& /*step*/) {
+    this->world.Elect(this->world.saved_record);
+  }
+  /// The leader changes while the first grant to the successor of a move is
+  /// not answered; the successor is lost to the next leader.
+  void ElectDuringMove(const RangeStep& step) {
+    const RangeStep successor{0, step.second, 0, milliseconds(0)};
+    this->Silence(successor);
+    this->Move(step);
+    this->Wait(milliseconds(100 + step.first % 500));
+    this->Elect(step);
+    this->EndSilence(successor);
+    this->Cut(successor);
+  }
+  void StoreFault(const RangeStep& step) {
+    this->world.in_trouble = step.second % 2 == 0;
+    this->saves_record = step.first % 2 == 0;
+  }
+
+  void Unlist(const UpstreamId& id) {
+    std::erase_if(this->world.entries, [&id](const RegisteredUpstream& entry) {
+      return entry.run.id == id;
+    });
+  }
+  void Publish() {
+    this->world.keeper->SetUpstreams(this->world.entries, this->world.now);
+  }
+
+  void Wait(milliseconds span) {
+    const MonotonicTime end = this->world.now + span;
+    while (this->world.now < end && this->outcome.violation.empty()) {
+      this->world.Run(milliseconds(50), this->saves_record);
+      this->world.ExpireCalls(kAnswerLimit);
+      this->Check();
+    }
+  }
+
+  void Check() {
+    if (this->world.has_low_token) {
+      this->outcome.violation = "keys were granted with a token too low";
+    }
+
+    for (const std::uint16_t key : kWatchedKeys) {
+      const auto holders = this->world.HoldersOf(key);
+      if (holders.size() <= 1) continue;
+      this->outcome.violation = "key " + std::to_string(key) + " is held by " +
+                                holders[0] + " and " + holders[1];
+    }
+  }
+
+  void Heal() {
+    this->world.silent.clear();
+    this->world.unreachable.clear();
+    this->world.in_trouble = false;
+    this->saves_record = true;
+    for (std::uint32_t i = 0; i < kUpstreams; ++i) {
+      this->Return({0, i, 0, milliseconds(0)});
+    }
+    this->Wait(kLongestWait);
+    // The planner gives free keys to an upstream.
+    for (const RangeView& range : this->world.keeper->Ranges(kService)) {
+      if (!range.is_free) continue;
+      this->world.keeper->Move(kService,
+                               {range.range, this->world.entries[0].run});
+    }
+    this->Wait(seconds(1));
+    this->outcome.is_serving = std::all_of(
+        kWatchedKeys.begin(), kWatchedKeys.end(), [this](std::uint16_t key) {
+          return this->world.HoldersOf(key).size() == 1;
+        });
+  }
+
+  RangeWorld world;
+  std::map<UpstreamId, std::uint64_t> lives;
+  bool saves_record = true;
+  RangeOutcome outcome;
+};
+
+// Moves, changes of leader and late orders come more often than other faults,
+// since two holders need several of them in a row.
+const std::array<ScriptRunner::Action, 20> ScriptRunner::kActions = {
+    &ScriptRunner::Move,
+    &ScriptRunner::Move,
+    &ScriptRunner::Elect,
+    &ScriptRunner::Elect,
+    &ScriptRunner::ElectDuringMove,
+    &ScriptRunner::ElectDuringMove,
+    &ScriptRunner::Silence,
+    &ScriptRunner::EndSilence,
+    &ScriptRunner::EndSilence,
+    &ScriptRunner::LeaveGrantUnanswered,
+    &ScriptRunner::LeaveGrantUnanswered,
+    &ScriptRunner::CarryOutLate,
+    &ScriptRunner::CarryOutLate,
+    &ScriptRunner::CarryOutLate,
+    &ScriptRunner::Cut,
+    &ScriptRunner::EndCut,
+    &ScriptRunner::RestartAndRegister,
+    &ScriptRunner::Lapse,
+    &ScriptRunner::Return,
+    &ScriptRunner::StoreFault};
+
+}  // namespace
+
+std::ostream& operator<<(std::ostream& out, const RangeStep& step) {
+  return out << '{' << step.kind << ", " << step.first << ", " << step.second
+             << ", " << step.wait.count() << " ms}";
+}
+
+rc::Gen<RangeScript> GenRangeScript() {
+  // Drawn from a wide range, since small sizes cut ranges short.
+  const auto kind = rc::gen::inRange<std::size_t>(0, 13'000);
+  // A change of leader right after a move comes before its end.
+  const auto wait = rc::gen::map(
+      rc::gen::weightedOneOf<int>({{3, rc::gen::inRange(0, 6)},
+                                   {2, rc::gen::inRange(6, 30)},
+                                   {1, rc::gen::inRange(30, 100)}}),
+      [](int steps) { return milliseconds(50 * steps); });
+  return rc::gen::container<RangeScript>(rc::gen::build<RangeStep>(
+      rc::gen::set(&RangeStep::kind, kind),
+      rc::gen::set(&RangeStep::first,
+                   rc::gen::inRange<std::uint32_t>(0, 10'000)),
+      rc::gen::set(&RangeStep::second,
+                   rc::gen::inRange<std::uint32_t>(0, 10'000)),
+      rc::gen::set(&RangeStep::wait, wait)));
+}
+
+RangeOutcome RunRangeScript(const RangeOptions& options,
+                            const RangeScript& script) {
+  return ScriptRunner(options).Run(script);
+}
+
+}  // namespace bamboorack::upstream::testing
--- a/unittests/upstream/range_world.h
+++ b/unittests/upstream/range_world.h
@@ -31,11 +31,14 @@
   /// accepted.
   bool Grant(const RangeGrantCall& call, MonotonicTime arrived) {
     for (const auto& [keys, token] : this->seen) {
+      if (!this->refuses_stale_tokens) break;
       if (Overlap(keys, call.range) && call.token < token) return false;
     }
     this->seen.emplace_back(call.range, call.token);
     this->Cut(call.range);
-    this->holds.push_back({call.range, call.token, arrived + call.lease});
+    this->holds.push_back(
+        {call.range, call.token,
+         arrived + call.lease + call.lease * kLeaseDriftPercent / 100});
     return true;
   }
 
@@ -54,6 +57,8 @@
     this->seen.clear();
   }
 
+  bool refuses_stale_tokens = true;
+
  private:
   static bool Overlap(const KeyRange& a, const KeyRange& b) {
     return a.first <= b.last && b.first <= a.last;
@@ -87,6 +92,12 @@
   std::vector<std::pair<KeyRange, FencingToken>> seen;
 };
 
+/// An order that was not answered and that its upstream may still carry out.
+struct LateCall {
+  ControlCall call;
+  MonotonicTime arrived;
+};
+
 inline const ServiceName kService{"reader"};
 
 inline RegisteredUpstream MakeEntry(const std::string& id,
@@ -104,7 +115,9 @@
 /// test controls.
 class RangeWorld {
  public:
-  explicit RangeWorld(std::vector<std::string> ids) {
+  explicit RangeWorld(std::vector<std::string> ids,
+                      const RangeRules& range_rules = kRangeRules)
+      : rules(range_rules) {
     for (const std::string& id : ids) {
       this->entries.push_back(MakeEntry(id));
       this->upstreams[UpstreamId(id)];
@@ -115,7 +128,9 @@
   /// A new leader takes over what `record` says.
   void Elect(const OwnershipRecord& record) {
     this->term = Term(this->term.value + 1);
-    this->keeper.emplace(RangeLeases{});
+    this->keeper.emplace(RangeLeases{}, this->rules);
+    this->unanswered.clear();
+    this->saved = 0;
     this->keeper->TakeOver(record, this->term,
                            this->keeper->LatestLeaseEnd(this->now), this->now);
     this->keeper->SetUpstreams(this->entries, this->now);
@@ -135,7 +150,10 @@
     const MonotonicTime end = this->now + span;
     while (this->now < end) {
       this->now += std::chrono::milliseconds(50);
-      if (saves_record) this->saved = this->keeper->Change();
+      if (saves_record) {
+        this->saved = this->keeper->Change();
+        this->saved_record = this->Record();
+      }
       this->Deliver(
           this->keeper->Step(this->saved, this->in_trouble, this->now));
     }
@@ -145,7 +163,8 @@
     for (const ControlCall& call : calls) {
       this->sent.push_back(call);
       if (this->silent.contains(call.upstream)) {
-        this->unanswered.push_back(call);
+        this->unanswered.push_back({call, this->now});
+        this->late.push_back({call, this->now});
         continue;
       }
       if (this->unreachable.contains(call.upstream)) {
@@ -160,8 +179,11 @@
                                                      MonotonicTime arrived) {
     TokenUpstream& upstream = this->upstreams[call.upstream];
     if (const auto* grant = std::get_if<RangeGrantCall>(&call.request)) {
-      if (upstream.Grant(*grant, arrived)) return RangeGrantAnswer{};
-      return tl::make_unexpected(ControlError::kStaleToken);
+      if (!upstream.Grant(*grant, arrived)) {
+        return tl::make_unexpected(ControlError::kStaleToken);
+      }
+      if (arrived == this->now) this->NoteToken(call.upstream, *grant);
+      return RangeGrantAnswer{};
     }
     upstream.Release(std::get<RangeReleaseCall>(call.request));
     return RangeReleaseAnswer{Handover("h-" + call.upstream.value)};
@@ -174,13 +196,39 @@
 
   /// The unanswered calls fail for the keeper; the network still has them.
   std::vector<ControlCall> FailUnanswered() {
-    std::vector<ControlCall> calls = std::exchange(this->unanswered, {});
-    for (const ControlCall& call : calls) {
-      this->Answer(call, tl::make_unexpected(ControlError::kUnreachable));
+    std::vector<ControlCall> calls;
+    for (const LateCall& row : std::exchange(this->unanswered, {})) {
+      this->Answer(row.call, tl::make_unexpected(ControlError::kUnreachable));
+      calls.push_back(row.call);
     }
     return calls;
   }
 
+  /// Calls without an answer for `limit` fail for the keeper.
+  void ExpireCalls(std::chrono::milliseconds limit) {
+    for (const LateCall& row : std::exchange(this->unanswered, {})) {
+      if (this->now < row.arrived + limit) {
+        this->unanswered.push_back(row);
+        continue;
+      }
+      this->Answer(row.call, tl::make_unexpected(ControlError::kUnreachable));
+    }
+  }
+
+  /// Remembers the token with which an upstream got keys, and whether another
+  /// one had them with a higher token before.
+  void NoteToken(const UpstreamId& id, const RangeGrantCall& grant) {
+    for (const auto& [other, rows] : this->grants) {
+      if (other == id) continue;
+      for (const auto& [keys, token] : rows) {
+        const bool overlaps =
+            keys.first <= grant.range.last && grant.range.first <= keys.last;
+        this->has_low_token |= overlaps && grant.token <= token;
+      }
+    }
+    this->grants[id].emplace_back(grant.range, grant.token);
+  }
+
   std::vector<std::string> HoldersOf(std::uint16_t key) const {
     std::vector<std::string> holders;
     for (const auto& [id, upstream] : this->upstreams) {
@@ -214,10 +262,18 @@
   std::map<UpstreamId, TokenUpstream> upstreams;
   std::map<UpstreamId, bool> silent;
   std::map<UpstreamId, bool> unreachable;
-  std::vector<ControlCall> unanswered;
+  /// Calls whose answer the present leader waits for.
+  std::vector<LateCall> unanswered;
+  /// Calls of all leaders that an upstream may still carry out.
+  std::vector<LateCall> late;
   std::vector<ControlCall> sent;
+  /// Keys that each upstream was granted, with the tokens.
+  std::map<UpstreamId, std::vector<std::pair<KeyRange, FencingToken>>> grants;
+  bool has_low_token = false;
   bool in_trouble = false;
   std::uint64_t saved = 0;
+  OwnershipRecord saved_record;
+  RangeRules rules;
   Term term;
   std::optional<RangeKeeper> keeper;
 };
