daemon: the leader's beats carry changes of owners, not whole maps

The log shows eight leaders in a row whose appends to the log timed out. All were on VMs with links of 11 or 12 Mbit/s. During moves the map of about 400 ranges went to 26 daemons up to 16 times a second: 2.8 MB/s, twice the link.

Ruled out: processor time (0.09 of 0.25 cores at most); outages of the store (it was up at those times).

Change: OwnerAnnouncer decides what a beat carries: the changes since three announcements before, a whole map each second and for the first announcements of a term. A daemon that misses more than two beats in a row waits for the next whole map.

--- a/include/bamboorack/daemon/ownership_duty.h
+++ b/include/bamboorack/daemon/ownership_duty.h
@@ -20,6 +20,7 @@
 #include "bamboorack/core/time.h"
 #include "bamboorack/core/upstream_registry.h"
 #include "bamboorack/daemon/gateway_messages.h"
+#include "bamboorack/daemon/owner_announcer.h"
 #include "bamboorack/log_service/keyed_log.h"
 #include "bamboorack/log_service/state_documents.h"
 #include "bamboorack/log_service/store_call_thread.h"
@@ -112,6 +113,8 @@
   std::vector<upstream::RangeCandidate> Candidates(const ServiceName& service);
   double SpeedOf(const UpstreamId& id) const;
   void PublishOwners();
+  /// Takes the owners that a beat tells. Returns whether they were news.
+  bool HearOwners(const peer::LeaderBeat& beat);
   void ApplyHeardOwners();
   /// Takes the owners of a record that is newer than what was heard, for a
   /// daemon that does not hear its leader.
@@ -143,8 +146,9 @@
   std::optional<upstream::OwnershipRecord> newest_record;
   MonotonicTime next_plan;
   MonotonicTime next_beat;
-  MonotonicTime next_full_beat;
+  OwnerAnnouncer announcer;
   OwnerMapVersion sent_version;
+
   MonotonicTime next_publication;
   /// The newest owners that were heard of, as they came. Upstreams that
   /// register later give hashes their meaning.
--- a/include/bamboorack/peer/gossip.h
+++ b/include/bamboorack/peer/gossip.h
@@ -78,7 +78,10 @@
   /// Set once the sender's mandate has ended.
   std::optional<LeaseStatement> lapsed{};
   /// Empty in beats between changes.
-  std::optional<HashedOwners> owners;
+  std::optional<HashedOwners> owners{};
+  /// If set, `owners` has only the ranges that changed after this change of the
+  /// term, so it says nothing to who knows an older map.
+  std::optional<std::uint64_t> since{};
 };
 
 /// What the leader of ownership read of the log's topic with this number, so
--- a/lib/daemon/ownership_duty.cc
+++ b/lib/daemon/ownership_duty.cc
@@ -15,7 +15,7 @@
 constexpr milliseconds kBeatEvery{150};
 // Changes of owners that come together are sent together.
 constexpr milliseconds kPublishEvery{60};
-constexpr milliseconds kFullBeatEvery{1'000};
+
 // A leader that cannot reach this share of the upstreams for this time leaves
 // the duty to a daemon that may reach them.
 constexpr double kLostShare = 0.5;
@@ -119,17 +119,32 @@
     return;
   }
   this->leadership.OnLeaderHeard(beat.version.term, this->now);
-  if (!beat.owners) return;
-  const bool is_newer =
-      !this->tables.owners || this->tables.owners->version < beat.version;
-  if (!is_newer) return;
-  this->heard_owners = *beat.owners;
+  if (this->HearOwners(beat)) this->ApplyHeardOwners();
+}
+
+bool OwnershipDuty::HearOwners(const peer::LeaderBeat& beat) {
+  if (!beat.owners || beat.version <= this->heard_version) return false;
+  if (!beat.since) {
+    this->heard_owners = *beat.owners;
+    this->heard_version = beat.version;
+    return true;
+  }
+  const bool knows_base = this->heard_version.term == beat.version.term &&
+                          this->heard_version.change >= *beat.since;
+  if (!knows_base) {
+    this->metrics.Count("owner_changes_missed");
+    return false;
+  }
+  peer::Overlay(this->heard_owners, *beat.owners);
   this->heard_version = beat.version;
-  this->ApplyHeardOwners();
+  return true;
 }
 
 void OwnershipDuty::ApplyHeardOwners() {
   if (!this->tables.upstreams) return;
+  const bool is_older =
+      this->tables.owners && this->heard_version < this->tables.owners->version;
+  if (is_older) return;
   this->tables.owners = std::make_shared<const OwnerMap>(peer::FromHashed(
       this->heard_version, this->heard_owners, *this->tables.upstreams));
   this->has_new_tables = true;
@@ -306,7 +321,8 @@
         std::make_shared<const OwnerMap>(this->keeper.ToMap(this->now));
     this->has_new_tables = true;
     this->sent_version = this->tables.owners->version;
-    this->next_full_beat = this->now;
+    this->announcer.Update(*this->tables.owners);
+
     this->next_beat = this->now;
   }
   if (this->now < this->next_beat) return;
@@ -317,11 +333,7 @@
 void OwnershipDuty::SendBeat() {
   peer::LeaderBeat beat;
   beat.sender = this->identity.daemon;
-  beat.version = this->sent_version;
-  if (this->now >= this->next_full_beat && this->tables.owners) {
-    beat.owners = peer::ToHashed(*this->tables.owners);
-    this->next_full_beat = this->now + kFullBeatEvery;
-  }
+  this->announcer.Fill(beat, this->now);
   this->actions.emplace_back(peer::ToGossip(std::move(beat)));
 }
 
--- a/lib/peer/gossip_codec.cc
+++ b/lib/peer/gossip_codec.cc
@@ -75,7 +75,8 @@
              beat.lapsed
                  ? static_cast<std::uint32_t>(beat.lapsed->leases_left.count())
                  : 0,
-             beat.owners ? &services : nullptr)
+             beat.owners ? &services : nullptr, beat.since.has_value(),
+             beat.since.value_or(0))
       .Union();
 }
 
@@ -168,6 +169,7 @@
         LeaseStatement{LogOffset(wire.log_end()),
                        std::chrono::milliseconds(wire.leases_left_ms())};
   }
+  if (wire.is_partial()) beat.since = wire.since();
   if (wire.services() != nullptr) {
     beat.owners.emplace();
     for (const gossip::ServiceOwners* owners : *wire.services()) {
--- a/unittests/daemon/ownership_duty_test.cc
+++ b/unittests/daemon/ownership_duty_test.cc
@@ -194,6 +194,55 @@
   }
 }
 
+SCENARIO("changes of owners are applied to a map that misses others") {
+  Fixture fixture;
+  fixture.Update(Topic::kDesiredState, {{"state", "3"}});
+  fixture.Update(Topic::kUpstreams, {{"u0", "reader"}, {"u1", "reader"}});
+  const ServiceName service("reader");
+  const auto hear = [&fixture](std::uint64_t change,
+                               std::optional<std::uint64_t> since,
+                               std::vector<peer::HashedRange> ranges) {
+    peer::LeaderBeat beat;
+    beat.sender = DaemonId("d1");
+    beat.version = {Term(9), change};
+    beat.since = since;
+    beat.owners = peer::HashedOwners{{ServiceName("reader"), ranges}};
+    fixture.Take(fixture.duty.OnGossip(beat, fixture.now));
+    fixture.Take(fixture.duty.Tick(fixture.now));
+  };
+  const auto owner_of = [&](std::uint16_t key) {
+    const UpstreamRun* run =
+        fixture.tables.owners->FindOwner(service, ShardKey(key));
+    return run == nullptr ? std::string() : run->id.value;
+  };
+  const auto u0 = peer::HashOf(UpstreamId("u0"));
+  const auto u1 = peer::HashOf(UpstreamId("u1"));
+  hear(5, std::nullopt, {{{kFirstKey, kLastKey}, u0}});
+  REQUIRE(fixture.tables.owners != nullptr);
+  REQUIRE(owner_of(70) == "u0");
+
+  SECTION("changes since a version that it knows") {
+    hear(8, 4, {{{ShardKey(50), ShardKey(99)}, u1}});
+    CHECK(owner_of(49) == "u0");
+    CHECK(owner_of(50) == "u1");
+    CHECK(owner_of(99) == "u1");
+    CHECK(owner_of(100) == "u0");
+    SECTION("a beat that comes late changes nothing") {
+      hear(7, 4, {{{ShardKey(50), ShardKey(99)}, u0}});
+      CHECK(owner_of(70) == "u1");
+    }
+  }
+  SECTION("changes since a version that it has not heard") {
+    hear(8, 6, {{{ShardKey(50), ShardKey(99)}, u1}});
+    CHECK(owner_of(70) == "u0");
+    SECTION("the next whole map makes up for it") {
+      hear(8, std::nullopt,
+           {{{kFirstKey, ShardKey(99)}, u1}, {{ShardKey(100), kLastKey}, u0}});
+      CHECK(owner_of(70) == "u1");
+    }
+  }
+}
+
 SCENARIO("a daemon that does not hear the leader knows no owners") {
   Fixture fixture;
   upstream::OwnershipRecord record;
--- a/unittests/peer/gossip_thread_test.cc
+++ b/unittests/peer/gossip_thread_test.cc
@@ -76,6 +76,11 @@
     const OwnerMap unknown = FromHashed(beat.version, *beat.owners, {});
     CHECK(unknown.FindOwner(ServiceName("reader"), ShardKey(5)) == nullptr);
     CHECK_FALSE(beat.lapsed.has_value());
+    CHECK_FALSE(beat.since.has_value());
+    LeaderBeat changes = MakeBeat();
+    changes.since = 7;
+    const auto partial = DecodeGossip(EncodeGossip(kSource, changes));
+    CHECK(std::get<LeaderBeat>(partial->content).since == 7U);
     LeaderBeat lapsed;
     lapsed.lapsed = LeaseStatement{LogOffset(8), milliseconds(4'000)};
     const auto statement = DecodeGossip(EncodeGossip(kSource, lapsed));
