upstream: a move with an unanswered grant is fenced after a change of leader

Ruled out: taking the release as proof all the same (two holders, the gap closed before).

Change: a record that tells of an unanswered grant now also means that the successor has been granted nothing. The next leader may then fence the holder with a grant of its own, ask it to let go and grant the successor. The leader saves a record that says so before it grants the successor.

--- a/include/bamboorack/upstream/ownership_record.h
+++ b/include/bamboorack/upstream/ownership_record.h
@@ -21,8 +21,9 @@
   std::optional<UpstreamRun> holder;
   /// Set while the keys move: they may already be held there.
     std::optional<UpstreamRun> successor;
-  /// Of keys that move: a grant to the holder was not answered and may be
-  /// carried out later. If not, none is sent to it while the move lasts.
+    /// Of keys that move: a grant to the holder was not answered and may be
+  /// carried out later; the successor has been granted nothing yet. If not set,
+  /// no grant is sent to the holder while the move lasts.
   bool has_unanswered_grant = false;
 
   bool operator==(const RecordedRange&) const = default;
--- a/lib/upstream/range_keeper.cc
+++ b/lib/upstream/range_keeper.cc
@@ -70,13 +70,17 @@
       range.token = this->DrawToken();
       range.next_call = now;
       range.may_hold_until = leases_end;
-      if (row.successor) {
-        range.successor = row.successor;
+      range.has_unanswered_grant = true;
+
+      range.successor = row.successor;
+      const bool may_be_granted = row.successor && !row.has_unanswered_grant;
+      if (may_be_granted) {
         range.successor_may_hold_until = this->rules.successor_end(leases_end);
-        range.has_unanswered_grant = row.holder && row.has_unanswered_grant;
+        range.has_unanswered_grant = false;
         range.phase = Phase::kReleasing;
+      } else if (row.successor) {
+        range.phase = Phase::kSaving;
       } else {
-        range.has_unanswered_grant = true;
         range.phase = row.holder ? Phase::kHeld : Phase::kFree;
       }
     }
@@ -348,6 +352,7 @@
 
 void RangeKeeper::LetGo(const ServiceName& service, Range& range,
                         std::string_view what) {
+  const bool is_recorded_unsafe = range.has_unanswered_grant;
   range.holder.reset();
   range.holder_released = false;
   range.may_hold_until =
@@ -360,7 +365,11 @@
   range.is_extended = false;
   range.next_call = this->step_time;
   if (range.successor && this->Find(*range.successor) != nullptr) {
-    this->SetPhase(service, range, Phase::kGranting, what);
+    // The record must not say any more that the successor was granted nothing.
+    if (is_recorded_unsafe) range.needs_change = ++this->change;
+    this->SetPhase(service, range,
+                   is_recorded_unsafe ? Phase::kSaving : Phase::kGranting,
+                   what);
     return;
   }
   if (range.successor && range.has_unanswered_grant) {
@@ -440,8 +449,12 @@
   }
   range.unanswered = 0;
   range.failed_attempts = 0;
-  // The answered grant has a token above those of the unanswered ones.
-  range.has_unanswered_grant = false;
+  // The answered grant has a token above those of the unanswered ones. The
+  // record of a move has to tell so before the successor is granted the keys.
+  const bool is_now_safe = std::exchange(range.has_unanswered_grant, false);
+  if (is_now_safe && range.phase == Phase::kSaving) {
+    range.needs_change = ++this->change;
+  }
   range.next_call =
       range.call_sent + range.call_lease * (100 - kRenewAtPercent) / 100;
   if (range.phase != Phase::kGranting) return;
--- a/unittests/upstream/range_fuzz_test.cc
+++ b/unittests/upstream/range_fuzz_test.cc
@@ -12,7 +12,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr int kMaxCases = 1'500;
+constexpr int kMaxCases = 3'000;
 constexpr int kScriptSize = 60;
 
 /// A case in which two holders were found.
--- a/unittests/upstream/range_keeper_test.cc
+++ b/unittests/upstream/range_keeper_test.cc
@@ -202,8 +202,20 @@
       world.silent.clear();
       world.Move(0, 65'535, "b");
       world.Elect(world.Record());
-      world.Run(milliseconds(500));
-      THEN("a's release is no proof, since the grant may follow it") {
+      THEN("a is fenced before it is asked to let go, and b gets the keys") {
+        world.Run(milliseconds(500));
+        CHECK(world.HoldersOf(100) == Names{"b"});
+        for (const ControlCall& call : late) world.CarryOut(call, world.now);
+        CHECK(world.HoldersOf(100) == Names{"b"});
+      }
+      THEN("a's release is no proof if it cannot be fenced") {
+        world.silent[UpstreamId("a")] = true;
+        for (int i = 0; i < 6; ++i) {
+          world.Run(milliseconds(400));
+          world.FailUnanswered();
+        }
+        world.silent.clear();
+        world.Run(milliseconds(500));
         for (const ControlCall& call : late) world.CarryOut(call, world.now);
         CHECK(world.HoldersOf(100).size() <= 1);
         AND_THEN("and b gets the keys when every lease has run out") {
@@ -211,6 +223,12 @@
           CHECK(world.HoldersOf(100) == Names{"b"});
         }
       }
+      THEN("b is granted nothing before the record tells that a is fenced") {
+        const std::size_t grants = world.CountSent(kGrantIndex);
+        world.Run(milliseconds(500), false);
+        CHECK(world.CountSent(kGrantIndex) == grants + 1);
+        CHECK(world.HoldersOf(100) == Names{"a"});
+      }
     }
 
     WHEN("the leader changes while a grant to b is unanswered") {
--- a/unittests/upstream/range_script.cc
+++ b/unittests/upstream/range_script.cc
@@ -73,14 +73,14 @@
   void EndSilence(const RangeStep& step) {
     this->world.silent.erase(this->IdOf(step.first));
   }
-  /// Silence that lasts for about one renewal. In half of the steps a move and
-  /// a change of leader follow.
+    /// Silence that lasts for one renewal or for several. In half of the steps a
+  /// move and a change of leader follow, in the others a move alone.
   void LeaveGrantUnanswered(const RangeStep& step) {
     this->Silence(step);
-    this->Wait(milliseconds(300 + step.second % 1'000));
+    this->Wait(milliseconds(300 + step.second % 2'000));
     this->EndSilence(step);
+        this->Move({0, step.second / 4, step.first + 1, milliseconds(0)});
     if (step.second % 2 == 0) return;
-    this->Move({0, step.second / 2, step.first + 1, milliseconds(0)});
     this->Wait(milliseconds(50));
     this->Elect(step);
   }
