--- a/unittests/upstream/range_keeper_test.cc
+++ b/unittests/upstream/range_keeper_test.cc
@@ -231,6 +231,18 @@
       }
     }
 
+    WHEN("the leader changes, renews, and then a is lost") {
+      world.Elect(world.Record());
+      world.Run(milliseconds(200));
+      world.unreachable[UpstreamId("a")] = true;
+      THEN("its keys wait for an ordinary lease, not for the longest") {
+        world.Run(milliseconds(2'500));
+        CHECK_FALSE(world.keeper->Ranges(kService).front().is_free);
+        world.Run(milliseconds(1'000));
+        CHECK(world.keeper->Ranges(kService).front().is_free);
+      }
+    }
+
     WHEN("the leader changes while a grant to b is unanswered") {
       world.Move(0, 65'535, "b");
       const OwnershipRecord record = world.Record();
