daemon: threads that call the store stop together

Its zone was cut off while it stopped; callers used the time up to 0.6 s before the kill, and then three threads were joined one after the other, each in an attempt to connect to the store that takes 0.4 s.

Ruled out: waiting callers (they end at the deadline), the leader's duty (another daemon led).

Change: all three are asked to stop before the first is joined.

--- a/lib/daemon/gateway.cc
+++ b/lib/daemon/gateway.cc
@@ -141,6 +141,11 @@
 
   void Stop(MonotonicTime deadline) {
     this->callers.Stop(deadline);
+    // Each may be in an attempt to connect, which cannot be interrupted; one
+    // after the other they would outlast the time until the kill.
+    this->store_calls.RequestStop();
+    this->desired_state.RequestStop();
+    this->upstream_registry.RequestStop();
     this->ownership.Stop();
     this->upstreams.Stop(std::chrono::steady_clock::now());
     this->routing.Stop();
--- a/lib/log_service/store_call_thread.cc
+++ b/lib/log_service/store_call_thread.cc
@@ -29,10 +29,14 @@
       std::jthread([this](const std::stop_token& stop) { this->Run(stop); });
 }
 
-void StoreCallThread::Stop() {
-  if (!this->thread.joinable()) return;
+void StoreCallThread::RequestStop() {
   this->thread.request_stop();
   this->in.Close();
+}
+
+void StoreCallThread::Stop() {
+  if (!this->thread.joinable()) return;
+  this->RequestStop();
   this->thread.join();
 }
 
--- a/lib/log_service/topic_follower_thread.cc
+++ b/lib/log_service/topic_follower_thread.cc
@@ -38,10 +38,14 @@
       std::jthread([this](const std::stop_token& stop) { this->Run(stop); });
 }
 
-void TopicFollowerThread::Stop() {
-  if (!this->thread.joinable()) return;
+void TopicFollowerThread::RequestStop() {
   this->thread.request_stop();
   this->in.Close();
+}
+
+void TopicFollowerThread::Stop() {
+  if (!this->thread.joinable()) return;
+  this->RequestStop();
   this->thread.join();
 }
 
