core: a failed read is no outage of the registry

After any failed read of its own a daemon kept entries that went missing for 2.3 s, because entries lapse while the store is out; on links of 11 Mbit/s single reads time out.

Ruled out: late relays (other changes are known after 0.7 s at most).

Change: an outage is 1.5 s without an answer to this daemon or the one that passes on what it read; entries lapse after three heartbeats, so a shorter one removes none. A missing entry is kept until 2.3 s after the registry's return, not 2.3 s from when it is missed.

The section "around an outage" of upstream_registry_test used NoteFailure, which is gone; the ones in its place ask for the same around a real outage, and for the end of the time after the return. The new section replays the failed read.

--- a/include/bamboorack/core/upstream_registry.h
+++ b/include/bamboorack/core/upstream_registry.h
@@ -41,12 +41,17 @@
 /// The upstreams that may be used, from the records of the registry and from
 /// how well this process reaches it.
 ///
-/// Load pattern: entries lapse while the registry is out of reach of the
-/// upstreams but not of this process, or the other way round. An entry that
-/// goes missing around such an outage is kept for `kReturnTime`.
+/// Load pattern: entries of upstreams that live lapse during an outage of the
+/// registry. An entry that is missing afterwards is kept until `kReturnTime`
+/// after the registry's return. A read that fails on a slow link is no outage:
+/// entries that go missing then are gone.
 class UpstreamRegistry {
  public:
+  /// Without an answer of the registry for this time there was an outage. An
+  /// entry lapses after three heartbeats, so a shorter one removes none.
+  static constexpr std::chrono::milliseconds kShortestOutage{1'500};
   /// Living upstreams are back in the registry within this time of its return.
+
   static constexpr std::chrono::milliseconds kReturnTime{2'300};
 
   /// Takes one record; nothing means that the entry was removed.
@@ -55,8 +60,9 @@
   /// Takes the whole registry.
   void Replace(const std::vector<RegisteredUpstream>& entries,
                MonotonicTime now);
-  /// Tells that a call to the registry failed.
-  void NoteFailure(MonotonicTime now);
+  /// Tells that the registry answered this daemon or another one. Called
+  /// before what it answered is taken.
+  void NoteContact(MonotonicTime now);
 
   /// Drops entries whose time has run out. Returns whether the usable entries
   /// have changed since the last call.
@@ -75,7 +81,9 @@
   void MarkMissing(Row& row, MonotonicTime now);
 
   std::map<UpstreamId, Row> rows;
-  std::optional<MonotonicTime> last_failure;
+  std::optional<MonotonicTime> last_contact;
+  /// When the registry answered again after the last outage.
+  std::optional<MonotonicTime> returned_at;
   bool has_changed = false;
 };
 
--- a/lib/core/upstream_registry.cc
+++ b/lib/core/upstream_registry.cc
@@ -37,15 +37,18 @@
   }
 }
 
-void UpstreamRegistry::NoteFailure(MonotonicTime now) {
-  this->last_failure = now;
+void UpstreamRegistry::NoteContact(MonotonicTime now) {
+  const bool was_out =
+      this->last_contact && now - *this->last_contact >= kShortestOutage;
+  if (was_out) this->returned_at = now;
+  this->last_contact = now;
 }
 
 void UpstreamRegistry::MarkMissing(Row& row, MonotonicTime now) {
   if (row.drop_at) return;
   row.drop_at = now;
-  if (this->last_failure && now - *this->last_failure < kReturnTime) {
-    row.drop_at = now + kReturnTime;
+  if (this->returned_at) {
+    row.drop_at = std::max(now, *this->returned_at + kReturnTime);
   }
 }
 
--- a/lib/daemon/ownership_duty_topics.cc
+++ b/lib/daemon/ownership_duty_topics.cc
@@ -34,8 +34,8 @@
 
 void OwnershipDuty::NoteStoreContact(const log_service::TopicUpdate& update) {
   const bool is_up = !update.failure;
-  if (update.topic == Topic::kUpstreams && !is_up) {
-    this->registry.NoteFailure(this->now);
+  if (update.topic == Topic::kUpstreams && is_up) {
+    this->registry.NoteContact(this->now);
   }
   // A relay tells of the log, but not that it can be reached from here.
   if (update.is_relayed) return;
--- a/unittests/core/upstream_registry_test.cc
+++ b/unittests/core/upstream_registry_test.cc
@@ -30,10 +30,12 @@
     CHECK(registry.Entries().size() == 1);
   }
 
-  SECTION("around an outage entries have time to come back") {
-    registry.NoteFailure(now);
-    registry.Replace({Entry("b")}, now + milliseconds(500));
-    registry.Update(now + milliseconds(600));
+  SECTION("after an outage entries have time to come back") {
+    registry.NoteContact(now);
+    now += seconds(3);
+    registry.NoteContact(now);
+    registry.Replace({Entry("b")}, now);
+    registry.Update(now + milliseconds(100));
     CHECK(registry.Entries().size() == 2);
     SECTION("and those that do stay") {
       registry.Set(UpstreamId("a"), Entry("a"), now + seconds(1));
@@ -41,10 +43,27 @@
       CHECK(registry.Entries().size() == 2);
     }
     SECTION("and those that do not are gone") {
-      CHECK(registry.Update(now + milliseconds(500) +
-                            UpstreamRegistry::kReturnTime));
+      CHECK(registry.Update(now + UpstreamRegistry::kReturnTime));
       CHECK(registry.Entries().size() == 1);
     }
+    SECTION("but no longer than that after the return") {
+      registry.NoteContact(now + seconds(1));
+      registry.NoteContact(now + seconds(2));
+      registry.Set(UpstreamId("b"), std::nullopt, now + seconds(2));
+      registry.Update(now + UpstreamRegistry::kReturnTime);
+      CHECK(registry.Entries().empty());
+    }
+  }
+
+  SECTION("a read that fails on a slow link does not keep a removed entry") {
+    // notus-diary-gw-grown, scale-1, seed 197623192823: removed upstreams got
+    // requests for 2.5 s, since each failed read counted as an outage.
+    registry.NoteContact(now);
+    now += milliseconds(1'400);
+    registry.NoteContact(now);
+    registry.Set(UpstreamId("a"), std::nullopt, now);
+    CHECK(registry.Update(now));
+    CHECK(registry.Entries().size() == 1);
   }
 
   SECTION("a new run replaces the old one") {
