--- a/include/bamboorack/log_service/store_call_thread.h
+++ b/include/bamboorack/log_service/store_call_thread.h
@@ -46,7 +46,7 @@
   StoreCallThread(const StoreCallThread&) = delete;
   StoreCallThread& operator=(const StoreCallThread&) = delete;
 
-    void Start();
+  void Start();
   /// Ends the thread after the call that it is in, without waiting for it.
   void RequestStop();
   void Stop();
--- a/include/bamboorack/log_service/topic_follower_thread.h
+++ b/include/bamboorack/log_service/topic_follower_thread.h
@@ -67,7 +67,7 @@
   TopicFollowerThread(const TopicFollowerThread&) = delete;
   TopicFollowerThread& operator=(const TopicFollowerThread&) = delete;
 
-    void Start();
+  void Start();
   /// Ends the thread after the call that it is in, without waiting for it.
   void RequestStop();
   void Stop();
--- a/include/bamboorack/peer/owner_changes.h
+++ b/include/bamboorack/peer/owner_changes.h
@@ -24,6 +24,11 @@
     std::uint64_t changed_at = 0;
   };
 
+  /// Returns `ranges`, with the former change where the owner is the same.
+  static std::vector<Row> Updated(const std::vector<Row>& rows,
+                                  const std::vector<HashedRange>& ranges,
+                                  std::uint64_t change);
+
   Term term;
   std::map<ServiceName, std::vector<Row>> services;
 };
--- a/include/bamboorack/upstream/ownership_record.h
+++ b/include/bamboorack/upstream/ownership_record.h
@@ -20,8 +20,8 @@
   /// Empty if the keys are held by nobody.
   std::optional<UpstreamRun> holder;
   /// Set while the keys move: they may already be held there.
-    std::optional<UpstreamRun> successor;
-    /// Of keys that move: a grant to the holder was not answered and may be
+  std::optional<UpstreamRun> successor;
+  /// Of keys that move: a grant to the holder was not answered and may be
   /// carried out later; the successor has been granted nothing yet. If not set,
   /// no grant is sent to the holder while the move lasts.
   bool has_unanswered_grant = false;
--- a/include/bamboorack/upstream/range_rules.h
+++ b/include/bamboorack/upstream/range_rules.h
@@ -24,7 +24,6 @@
   /// Until when the successor of a move that a predecessor began may hold the
   /// keys, if the predecessor's leases end at `leases_end`.
   MonotonicTime (*successor_end)(MonotonicTime leases_end);
-
   /// The first fencing token of a term.
   FencingToken (*first_token)(Term term);
 };
--- a/lib/daemon/ownership_duty.cc
+++ b/lib/daemon/ownership_duty.cc
@@ -15,7 +15,6 @@
 constexpr milliseconds kBeatEvery{150};
 // Changes of owners that come together are sent together.
 constexpr milliseconds kPublishEvery{60};
-
 // A leader that cannot reach this share of the upstreams for this time leaves
 // the duty to a daemon that may reach them.
 constexpr double kLostShare = 0.5;
@@ -322,7 +321,6 @@
     this->has_new_tables = true;
     this->sent_version = this->tables.owners->version;
     this->announcer.Update(*this->tables.owners);
-
     this->next_beat = this->now;
   }
   if (this->now < this->next_beat) return;
--- a/lib/peer/owner_changes.cc
+++ b/lib/peer/owner_changes.cc
@@ -72,35 +72,39 @@
   this->term = version.term;
   for (const auto& [service, ranges] : owners) {
     std::vector<Row>& rows = this->services[service];
-    const auto range_of_row = [](const Row& row) -> const KeyRange& {
-      return row.range.range;
-    };
-    Starts starts;
-    for (const Row& row : rows) AddStarts(starts, row.range.range);
-    for (const HashedRange& row : ranges) AddStarts(starts, row.range);
-    std::vector<Row> updated;
-    VisitPieces(starts, [&](const KeyRange& piece) {
-      const HashedRange* now = FindRow(ranges, piece.first, &RangeOf);
-      if (now == nullptr) return;
-      const Row* before = FindRow(rows, piece.first, range_of_row);
-      const bool is_same =
-          before != nullptr && before->range.owner == now->owner;
-      const std::uint64_t changed_at =
-          is_same ? before->changed_at : version.change;
-      const bool continues = !updated.empty() &&
-                             updated.back().range.owner == now->owner &&
-                             updated.back().changed_at == changed_at &&
-                             Follows(piece, updated.back().range.range);
-      if (continues) {
-        updated.back().range.range.last = piece.last;
-      } else {
-        updated.push_back({{piece, now->owner}, changed_at});
-      }
-    });
-    rows = std::move(updated);
+    rows = Updated(rows, ranges, version.change);
   }
 }
 
+std::vector<OwnerChanges::Row> OwnerChanges::Updated(
+    const std::vector<Row>& rows, const std::vector<HashedRange>& ranges,
+    std::uint64_t change) {
+  const auto range_of_row = [](const Row& row) -> const KeyRange& {
+    return row.range.range;
+  };
+  Starts starts;
+  for (const Row& row : rows) AddStarts(starts, row.range.range);
+  for (const HashedRange& row : ranges) AddStarts(starts, row.range);
+  std::vector<Row> updated;
+  VisitPieces(starts, [&](const KeyRange& piece) {
+    const HashedRange* now = FindRow(ranges, piece.first, &RangeOf);
+    if (now == nullptr) return;
+    const Row* before = FindRow(rows, piece.first, range_of_row);
+    const bool is_same = before != nullptr && before->range.owner == now->owner;
+    const std::uint64_t changed_at = is_same ? before->changed_at : change;
+    const bool continues = !updated.empty() &&
+                           updated.back().range.owner == now->owner &&
+                           updated.back().changed_at == changed_at &&
+                           Follows(piece, updated.back().range.range);
+    if (continues) {
+      updated.back().range.range.last = piece.last;
+    } else {
+      updated.push_back({{piece, now->owner}, changed_at});
+    }
+  });
+  return updated;
+}
+
 HashedOwners OwnerChanges::Since(std::uint64_t change) const {
   HashedOwners changes;
   for (const auto& [service, rows] : this->services) {
--- a/lib/upstream/range_keeper.cc
+++ b/lib/upstream/range_keeper.cc
@@ -11,7 +11,6 @@
 
 // A lease is renewed when this share of it is left, in percent.
 constexpr int kRenewAtPercent = 70;
-
 // From a change of the owner map until all daemons know it.
 constexpr milliseconds kNewsTravel{150};
 constexpr milliseconds kGrantLimit{400};
@@ -71,7 +70,6 @@
       range.next_call = now;
       range.may_hold_until = leases_end;
       range.has_unanswered_grant = true;
-
       range.successor = row.successor;
       const bool may_be_granted = row.successor && !row.has_unanswered_grant;
       if (may_be_granted) {
