daemon: whole owner maps go to a few daemons with each beat

The daemons that had newer maps were those first in the list: a whole map to 26 daemons, 156 KB at once, is more than the socket's buffer takes.

Ruled out: a wrong map at the leader (its own requests were not refused), lost changes (the daemons lacked the base, not the changes).

Change: a beat tells most daemons what changed and four daemons in turn the whole map, so that each has it within about a second.

--- a/include/bamboorack/daemon/owner_announcer.h
+++ b/include/bamboorack/daemon/owner_announcer.h
@@ -11,19 +11,21 @@
 
 namespace bamboorack::daemon {
 
-/// Decides how much of the owner map a leader's beat carries.
+/// Decides how much of the owner map a leader's beat carries, and to whom.
 ///
-/// Answers the load pattern of many moves in a row on a VM with a slow link:
-/// whole maps to all daemons at each change took more than the 12 Mbit/s of a
-/// small VM, so that the leader's own calls to the log timed out and each next
-/// leader lost its duty in the same way.
+/// Answers the load pattern of many moves in a row on a VM with a slow link.
+/// Whole maps to all daemons at each change took more than the 12 Mbit/s of a
+/// small VM, so that the leader's own calls to the log timed out. Whole maps to
+/// all daemons at once overflowed the socket's buffer, so that the daemons at
+/// the end of the list never got one.
 class OwnerAnnouncer {
  public:
   /// `map` is in force. Maps of one term have ascending versions.
   void Update(const OwnerMap& map);
 
-  /// Sets what the beat that is sent at `now` says of the owners.
-  void Fill(peer::LeaderBeat& beat, MonotonicTime now);
+  /// Returns the beat that is sent at `now`: what changed to most daemons, and
+  /// the whole map to a few.
+  peer::TakeTurns Next(const DaemonId& sender, MonotonicTime now);
 
  private:
   peer::HashedOwners owners;
--- a/include/bamboorack/peer/gossip.h
+++ b/include/bamboorack/peer/gossip.h
@@ -2,6 +2,7 @@
 #define BAMBOORACK_PEER_GOSSIP_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -99,13 +100,23 @@
 
 using Gossip = std::variant<LoadReport, LeaderBeat, RecordRelay>;
 
+/// Sends `few` to the next `few_count` daemons in turn, and `most` to the
+/// others, so that a large message to all does not go out at once.
+struct TakeTurns {
+  LeaderBeat most;
+  LeaderBeat few;
+  std::size_t few_count = 0;
+};
+
 /// Replaces the daemons that are sent to.
+
 struct SetPeers {
   std::vector<Endpoint> peers;
 };
 
 /// To the gossip thread.
-using ToGossip = std::variant<LoadReport, LeaderBeat, RecordRelay, SetPeers>;
+using ToGossip =
+    std::variant<LoadReport, LeaderBeat, RecordRelay, SetPeers, TakeTurns>;
 
 }  // namespace bamboorack::peer
 
--- a/include/bamboorack/peer/gossip_thread.h
+++ b/include/bamboorack/peer/gossip_thread.h
@@ -59,6 +59,10 @@
   void TakeMessages();
   void Take(const SetPeers& peers);
   void Broadcast(const Gossip& content);
+  void SendInTurns(const TakeTurns& turns);
+  /// Returns nothing if `content` is too large for a datagram.
+  std::string Encode(const Gossip& content);
+  void Send(const std::string& bytes, const Peer& peer);
 
   const Settings settings;
   BoundedRing<ToGossip>& in;
@@ -71,6 +75,8 @@
   /// The newest datagram of each daemon, so that late ones are dropped.
   std::map<DaemonId, GossipSource> newest;
   std::uint64_t sequence = 0;
+  /// Which of the peers gets the next whole map.
+  std::size_t turn = 0;
   std::atomic<bool> is_stopping{false};
   std::thread thread;
 };
--- a/lib/daemon/owner_announcer.cc
+++ b/lib/daemon/owner_announcer.cc
@@ -6,9 +6,9 @@
 namespace bamboorack::daemon {
 namespace {
 
-// A daemon that missed changes, or has just started, waits for a whole map no
-// longer than this.
-constexpr std::chrono::milliseconds kWholeEvery{1'000};
+// Four whole maps with each beat reach 27 daemons within about a second.
+constexpr std::chrono::milliseconds kWholeEvery{100};
+constexpr std::size_t kWholeMaps = 4;
 // A beat repeats the changes of the beats before it, so that a daemon may miss
 // two in a row.
 constexpr std::size_t kOverlap = 3;
@@ -23,23 +23,27 @@
   this->has_news = true;
 }
 
-void OwnerAnnouncer::Fill(peer::LeaderBeat& beat, MonotonicTime now) {
-  beat.version = this->version;
-  if (this->version == OwnerMapVersion{}) return;
-  const bool is_whole_due = now >= this->next_whole;
-  if (!this->has_news && !is_whole_due) return;
-  const bool is_whole = is_whole_due || this->announced.size() < kOverlap;
-  if (is_whole) {
-    beat.owners = this->owners;
+peer::TakeTurns OwnerAnnouncer::Next(const DaemonId& sender,
+                                     MonotonicTime now) {
+  peer::TakeTurns beat;
+  beat.most.sender = sender;
+  beat.most.version = this->version;
+  if (this->version == OwnerMapVersion{}) return beat;
+  if (now >= this->next_whole) {
+    beat.few = beat.most;
+    beat.few.owners = this->owners;
+    beat.few_count = kWholeMaps;
     this->next_whole = now + kWholeEvery;
-  } else {
-    beat.since = this->announced.front();
-    beat.owners = this->changes.Since(*beat.since);
   }
-  if (!this->has_news) return;
+  if (!this->has_news) return beat;
   this->has_news = false;
+  if (!this->announced.empty()) {
+    beat.most.since = this->announced.front();
+    beat.most.owners = this->changes.Since(*beat.most.since);
+  }
   this->announced.push_back(this->version.change);
   if (this->announced.size() > kOverlap) this->announced.pop_front();
+  return beat;
 }
 
 }  // namespace bamboorack::daemon
--- a/lib/daemon/ownership_duty.cc
+++ b/lib/daemon/ownership_duty.cc
@@ -329,10 +329,8 @@
 }
 
 void OwnershipDuty::SendBeat() {
-  peer::LeaderBeat beat;
-  beat.sender = this->identity.daemon;
-  this->announcer.Fill(beat, this->now);
-  this->actions.emplace_back(peer::ToGossip(std::move(beat)));
+  this->actions.emplace_back(
+      peer::ToGossip(this->announcer.Next(this->identity.daemon, this->now)));
 }
 
 void OwnershipDuty::LogRangeEvents() {
--- a/lib/peer/gossip_thread.cc
+++ b/lib/peer/gossip_thread.cc
@@ -136,6 +136,8 @@
       this->Broadcast(std::move(*report));
     } else if (auto* relay = std::get_if<RecordRelay>(&*message)) {
       this->Broadcast(std::move(*relay));
+    } else if (const auto* turns = std::get_if<TakeTurns>(&*message)) {
+      this->SendInTurns(*turns);
     } else {
       this->Broadcast(std::move(std::get<LeaderBeat>(*message)));
     }
@@ -158,22 +160,46 @@
   });
 }
 
-void GossipThread::Broadcast(const Gossip& content) {
-  const std::string bytes = EncodeGossip(
+std::string GossipThread::Encode(const Gossip& content) {
+  std::string bytes = EncodeGossip(
       {this->settings.daemon, this->settings.instance, ++this->sequence},
       content);
-  if (bytes.size() > kMaxDatagram) {
-    this->metrics.Count("gossip_too_large");
+  if (bytes.size() <= kMaxDatagram) return bytes;
+  this->metrics.Count("gossip_too_large");
+  return {};
+}
+
+void GossipThread::Send(const std::string& bytes, const Peer& peer) {
+  if (bytes.empty()) return;
+  try {
+    this->socket.sendTo(bytes.data(), static_cast<int>(bytes.size()),
+                        peer.address);
+  } catch (const Poco::Exception&) {
+    this->metrics.Count("gossip_send_failures");
+  }
+}
+
+void GossipThread::Broadcast(const Gossip& content) {
+  const std::string bytes = this->Encode(content);
+  for (const auto& [name, peer] : this->peers) this->Send(bytes, peer);
+}
+
+void GossipThread::SendInTurns(const TakeTurns& turns) {
+  const std::string most = this->Encode(turns.most);
+  if (turns.few_count == 0) {
+    for (const auto& [name, peer] : this->peers) this->Send(most, peer);
     return;
   }
+  const std::string few = this->Encode(turns.few);
+  const std::size_t count = this->peers.size();
+  std::size_t position = 0;
   for (const auto& [name, peer] : this->peers) {
-    try {
-      this->socket.sendTo(bytes.data(), static_cast<int>(bytes.size()),
-                          peer.address);
-    } catch (const Poco::Exception&) {
-      this->metrics.Count("gossip_send_failures");
-    }
+    // Counted from the peer whose turn it is.
+    const std::size_t place = (position + count - this->turn % count) % count;
+    this->Send(place < turns.few_count ? few : most, peer);
+    ++position;
   }
+  this->turn += turns.few_count;
 }
 
 }  // namespace bamboorack::peer
--- a/unittests/peer/gossip_thread_test.cc
+++ b/unittests/peer/gossip_thread_test.cc
@@ -148,6 +148,33 @@
     CHECK(std::holds_alternative<LeaderBeat>(*beat));
   }
 
+  SECTION("a whole map goes to one daemon after the other") {
+    Node third("d2", FreePort());
+    REQUIRE(third.thread.Start().has_value());
+    REQUIRE(third.in.TryPush(SetPeers{{{"127.0.0.1", first_port}}}));
+    report.sender = DaemonId("d2");
+    REQUIRE(third.in.TryPush(ToGossip(report)));
+    REQUIRE(first.to_routing.PopUntil(steady_clock::now() + seconds(10)));
+    TakeTurns turns;
+    turns.most.version = {Term(4), 9};
+    turns.few = MakeBeat();
+    turns.few_count = 1;
+    int whole_at_second = 0;
+    for (int i = 0; i < 4; ++i) {
+      REQUIRE(first.in.TryPush(ToGossip(turns)));
+      const auto at_second =
+          second.to_control.PopUntil(steady_clock::now() + seconds(10));
+      const auto at_third =
+          third.to_control.PopUntil(steady_clock::now() + seconds(10));
+      REQUIRE(at_second.has_value());
+      REQUIRE(at_third.has_value());
+      const bool is_whole = std::get<LeaderBeat>(*at_second).owners.has_value();
+      CHECK(is_whole != std::get<LeaderBeat>(*at_third).owners.has_value());
+      if (is_whole) ++whole_at_second;
+    }
+    CHECK(whole_at_second == 2);
+  }
+
   SECTION("a late datagram does not replace a newer one") {
     Poco::Net::DatagramSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0),
                                      false);
