--- a/include/bamboorack/core/upstream_registry.h
+++ b/include/bamboorack/core/upstream_registry.h
@@ -48,8 +48,10 @@
 class UpstreamRegistry {
  public:
   /// Without an answer of the registry for this time there was an outage. An
-  /// entry lapses after three heartbeats, so a shorter one removes none.
-  static constexpr std::chrono::milliseconds kShortestOutage{1'500};
+  /// entry lapses after three heartbeats of 0.87 s or more. A daemon that waits
+  /// for its leader's relay and then reads through a slow link may be without
+  /// an answer for 1.7 s.
+  static constexpr std::chrono::milliseconds kShortestOutage{2'500};
   /// Living upstreams are back in the registry within this time of its return.
 
   static constexpr std::chrono::milliseconds kReturnTime{2'300};
