upstream, daemon: orders to upstreams leave a line in the log

Cause: in an incident with two holders the logs could not tell the hypotheses apart: no line said when an order was sent, to whom, for how long, or how it ended, and a new leader did not say which end of leases it assumed.

Change: a line when a grant or release is sent and when it ends, with the keys, token, lease, error, status and how long the upstream may hold the keys by the leader's count. Answered ordinary renewals leave none, since a leader sends some 300 a second. The lines have a budget of their own. A leader tells from which record it took over; a lapse is logged when it is stated and when it is heard. The orders of RangeKeeper stand in a file of their own.

--- a/include/bamboorack/core/event_log.h
+++ b/include/bamboorack/core/event_log.h
@@ -23,15 +23,17 @@
   kProcess,
   /// A change of what this process believes.
   kBelief,
-  /// A move, grant or release of keys.
+  /// Leadership, and moves of keys.
   kOwnership,
+  /// A grant or release that was sent to an upstream, and its outcome.
+  kOrder,
   /// A request that was refused, retried or that failed.
   kRequestTrouble,
   /// A request that was answered.
   kRequestDone,
 };
 
-inline constexpr std::size_t kEventKindCount = 5;
+inline constexpr std::size_t kEventKindCount = 6;
 
 class EventLog;
 
--- a/include/bamboorack/daemon/ownership_duty.h
+++ b/include/bamboorack/daemon/ownership_duty.h
@@ -122,6 +122,7 @@
   void SendBeat();
   void PublishTables();
   void LogRangeEvents();
+  void LogOrderEvents();
   void Say(EventKind kind, std::string what,
            std::vector<std::pair<std::string, std::string>> fields = {});
   DutyActions Take();
@@ -158,6 +159,8 @@
   /// The last statement of a former leader, and when its leases end.
   std::optional<peer::LeaseStatement> statement;
   MonotonicTime statement_end;
+  /// The end of the log for which this daemon last stated its own lapse.
+  std::optional<LogOffset> lapse_stated_at;
   /// When each daemon last had an answer of the log, and last reported.
   struct PeerContact {
     MonotonicTime log_contact;
--- a/include/bamboorack/upstream/messages.h
+++ b/include/bamboorack/upstream/messages.h
@@ -1,8 +1,11 @@
 #ifndef BAMBOORACK_UPSTREAM_MESSAGES_H_
 #define BAMBOORACK_UPSTREAM_MESSAGES_H_
 
+#include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <string_view>
 #include <tl/expected.hpp>
 #include <variant>
 #include <vector>
@@ -158,6 +161,13 @@
   kNotSent,
 };
 
+constexpr std::string_view NameOf(ControlError error) {
+  constexpr std::array<std::string_view, 6> kNames = {
+      "unreachable",   "stale_token", "other_instance",
+      "lease_expired", "bad_answer",  "not_sent"};
+  return kNames.at(static_cast<std::size_t>(error));
+}
+
 using ControlAnswer =
     std::variant<ClockAnswer, FenceAnswer, GrantAnswer, RevokeAnswer,
                  SettleAnswer, RangeGrantAnswer, RangeReleaseAnswer>;
@@ -167,6 +177,8 @@
   ControlCallId id;
   UpstreamId upstream;
   tl::expected<ControlAnswer, ControlError> answer;
+  /// The status of the upstream's answer, or 0 if none came. Only for logs.
+  int status = 0;
 };
 
 /// Sends one request to an upstream.
--- a/include/bamboorack/upstream/range_keeper.h
+++ b/include/bamboorack/upstream/range_keeper.h
@@ -40,6 +40,26 @@
   FencingToken token;
 };
 
+/// An order that was sent or that ended, for the record of decisions. Ordinary
+/// renewals that are answered in time make none.
+struct OrderEvent {
+  std::string_view what;
+  ControlCallId id;
+  ServiceName service;
+  KeyRange range;
+  UpstreamId upstream;
+  FencingToken token;
+  /// Zero for a release.
+  std::chrono::milliseconds lease{0};
+  std::chrono::nanoseconds since_sent{0};
+  /// How long the upstream may hold the keys, as known before this event.
+  std::chrono::nanoseconds may_hold_for{0};
+  /// Empty if the order was accepted or was just sent.
+  std::string_view error;
+  /// The status of the answer, or 0.
+  int status = 0;
+};
+
 /// Orders one range to move, or to be held for the first time.
 struct RangeMove {
   KeyRange range;
@@ -107,6 +127,7 @@
   bool HasNewMap() const { return this->has_new_map; }
   OwnerMap ToMap(MonotonicTime now);
   std::vector<RangeEvent> TakeEvents();
+  std::vector<OrderEvent> TakeOrderEvents();
   /// Whether orders to the upstream failed lately.
   bool IsUnreachable(const UpstreamRun& run, MonotonicTime now) const;
   /// The share of upstreams with ranges whose orders failed lately.
@@ -194,6 +215,11 @@
             ControlRequest request, MonotonicTime deadline);
   void SendGrant(const ServiceName& service, Range& range,
                  const UpstreamRun& to);
+  void NoteResult(const ServiceName& service, const Range& range,
+                  const ControlResult& result);
+  void NoteOrder(std::string_view what, const ServiceName& service,
+                 const Range& range, const UpstreamId& to,
+                 std::string_view error = {}, int status = 0);
   void OnGrantResult(const ServiceName& service, Range& range,
                      const ControlResult& result, MonotonicTime now);
   void OnReleaseResult(Range& range, const ControlResult& result,
@@ -226,6 +252,7 @@
   std::uint64_t map_change = 0;
   bool has_new_map = false;
   std::vector<RangeEvent> events;
+  std::vector<OrderEvent> order_events;
   std::uint64_t last_call = 0;
 
   // Valid during one `Step`.
--- a/lib/core/event_log.cc
+++ b/lib/core/event_log.cc
@@ -16,8 +16,8 @@
 constexpr std::size_t kRingCapacity = 4'096;
 // Lines each second, indexed by kind. Answered requests are many and alike;
 // those that had trouble explain an incident.
-constexpr std::array<std::uint32_t, kEventKindCount> kBudgets = {50, 100, 200,
-                                                                 200, 20};
+constexpr std::array<std::uint32_t, kEventKindCount> kBudgets = {50,  100, 200,
+                                                                 200, 200, 20};
 // Lines are collected for this time and written at once, so that a line does
 // not cost a wake-up of its own.
 constexpr milliseconds kWritePause{200};
--- a/lib/daemon/ownership_duty.cc
+++ b/lib/daemon/ownership_duty.cc
@@ -24,6 +24,10 @@
 constexpr double kMinSpeed = 0.25;
 constexpr double kMaxSpeed = 2.5;
 
+std::string Milliseconds(std::chrono::nanoseconds span) {
+  return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
+}
+
 std::string IdOf(const std::optional<UpstreamRun>& run) {
   return run ? run->id.value : std::string();
 }
@@ -107,6 +111,14 @@
 
 void OwnershipDuty::OnBeat(const peer::LeaderBeat& beat) {
   if (beat.lapsed) {
+    const bool is_new =
+        !this->statement || this->statement->log_end != beat.lapsed->log_end;
+    if (is_new) {
+      this->Say(EventKind::kOwnership, "lapse_heard",
+                {{"from", beat.sender.value},
+                 {"log_end", TextOf(beat.lapsed->log_end)},
+                 {"leases_left_ms", Milliseconds(beat.lapsed->leases_left)}});
+    }
     this->statement = beat.lapsed;
     this->statement_end = this->now + beat.lapsed->leases_left;
     this->leadership.OnLapseStated(beat.lapsed->log_end);
@@ -171,19 +183,25 @@
 void OwnershipDuty::Lead() {
   const RangeLeadership::Role role = this->leadership.GetRole();
   if (auto record = this->leadership.TakePredecessor()) {
-    this->keeper.TakeOver(*record, this->leadership.OwnTerm(),
-                          this->PredecessorLeasesEnd(*record), this->now);
+    const MonotonicTime leases_end = this->PredecessorLeasesEnd(*record);
+    this->keeper.TakeOver(*record, this->leadership.OwnTerm(), leases_end,
+                          this->now);
     this->saved_change = 0;
     this->sent_change = 0;
     this->unreachable_since.reset();
     this->Say(EventKind::kOwnership, "leadership_taken",
               {{"term", TextOf(this->leadership.OwnTerm())},
-               {"from", record->leader.value}});
+               {"from", record->leader.value},
+               {"from_term", TextOf(record->term)},
+               {"log_end", TextOf(this->leadership.PredecessorEnd())},
+               {"released", record->is_released ? "true" : "false"},
+               {"leases_left_ms", Milliseconds(leases_end - this->now)}});
   }
   if (role != this->known_role) {
     this->known_role = role;
     if (role == RangeLeadership::Role::kFollower) {
-      this->Say(EventKind::kOwnership, "leadership_lost");
+      this->Say(EventKind::kOwnership, "leadership_lost",
+                {{"term", TextOf(this->leadership.OwnTerm())}});
     }
   }
   this->metrics.SetGauge("is_leader",
@@ -245,9 +263,17 @@
 
 void OwnershipDuty::StateLapse() {
   if (this->now < this->next_beat) return;
+  this->LogRangeEvents();
   const MonotonicTime end = this->keeper.LastLeaseEnd();
   if (end <= this->now) return;
   this->next_beat = this->now + kBeatEvery;
+  const LogOffset log_end = this->leadership.ExpectedEnd();
+  if (std::exchange(this->lapse_stated_at, log_end) != log_end) {
+    this->Say(EventKind::kOwnership, "lapse_stated",
+              {{"term", TextOf(this->leadership.OwnTerm())},
+               {"log_end", TextOf(log_end)},
+               {"leases_left_ms", Milliseconds(end - this->now)}});
+  }
   peer::LeaderBeat beat;
   beat.sender = this->identity.daemon;
   beat.version = this->sent_version;
@@ -333,7 +359,24 @@
       peer::ToGossip(this->announcer.Next(this->identity.daemon, this->now)));
 }
 
+void OwnershipDuty::LogOrderEvents() {
+  for (const upstream::OrderEvent& event : this->keeper.TakeOrderEvents()) {
+    this->Say(EventKind::kOrder, std::string(event.what),
+              {{"order", TextOf(event.id)},
+               {"service", event.service.value},
+               {"keys", TextOf(event.range)},
+               {"upstream", event.upstream.value},
+               {"token", TextOf(event.token)},
+               {"lease_ms", std::to_string(event.lease.count())},
+               {"since_sent_ms", Milliseconds(event.since_sent)},
+               {"may_hold_ms", Milliseconds(event.may_hold_for)},
+               {"error", std::string(event.error)},
+               {"status", std::to_string(event.status)}});
+  }
+}
+
 void OwnershipDuty::LogRangeEvents() {
+  this->LogOrderEvents();
   for (const upstream::RangeEvent& event : this->keeper.TakeEvents()) {
     this->Say(EventKind::kOwnership, std::string(event.what),
               {{"service", event.service.value},
--- a/lib/upstream/exchange.cc
+++ b/lib/upstream/exchange.cc
@@ -139,14 +139,14 @@
   void Succeed(AnswerHead head, Body body, ResultOutbox& outbox) override {
     this->Finish(
         this->protocol.DecodeControlAnswer(this->call.request, head, *body),
-        outbox);
+        head.status, outbox);
   }
 
   void Fail(Failure failure, bool was_written, ResultOutbox& outbox) override {
     const ControlError error = !was_written && this->IsRangeCall()
                                    ? ControlError::kNotSent
                                    : RowOf(failure).control_error;
-    this->Finish(tl::make_unexpected(error), outbox);
+    this->Finish(tl::make_unexpected(error), 0, outbox);
   }
 
  private:
@@ -157,9 +157,10 @@
            std::holds_alternative<RangeReleaseCall>(this->call.request);
   }
 
-  void Finish(tl::expected<ControlAnswer, ControlError> answer,
+  void Finish(tl::expected<ControlAnswer, ControlError> answer, int status,
               ResultOutbox& outbox) {
-    ControlResult result{this->call.id, this->call.upstream, std::move(answer)};
+    ControlResult result{this->call.id, this->call.upstream, std::move(answer),
+                         status};
     if (std::holds_alternative<SettleCall>(this->call.request)) {
       outbox.Add(std::move(result));
       return;
--- a/lib/upstream/range_keeper.cc
+++ b/lib/upstream/range_keeper.cc
@@ -1,7 +1,6 @@
 #include "bamboorack/upstream/range_keeper.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace bamboorack::upstream {
@@ -9,12 +8,8 @@
 
 using std::chrono::milliseconds;
 
-// A lease is renewed when this share of it is left, in percent.
-constexpr int kRenewAtPercent = 70;
 // From a change of the owner map until all daemons know it.
 constexpr milliseconds kNewsTravel{150};
-constexpr milliseconds kGrantLimit{400};
-constexpr milliseconds kRetryPause{150};
 // A release is answered when the work on the keys has ended, so its answer
 // takes as long as the longest request.
 constexpr milliseconds kReleaseLimit{2'500};
@@ -25,7 +20,6 @@
 // How long keys are taken back from an upstream that left the registry: longer
 // than the longest lease.
 constexpr milliseconds kDepartedTime{12'000};
-constexpr milliseconds kUnreachableTime{1'500};
 // Beyond this many ranges a service is not split any further.
 constexpr std::size_t kMaxRanges = 2'000;
 
@@ -388,145 +382,6 @@
       {what, service, range.keys, range.holder, range.successor, range.token});
 }
 
-void RangeKeeper::Send(const ServiceName& /*service*/, Range& range,
-                       const UpstreamRun& to, ControlRequest request,
-                       MonotonicTime deadline) {
-  range.call = ControlCallId(++this->last_call);
-  range.call_sent = this->step_time;
-  this->calls.push_back({*range.call, to.id, *this->EndpointOf(to), deadline,
-                         std::move(request)});
-}
-
-void RangeKeeper::SendGrant(const ServiceName& service, Range& range,
-                            const UpstreamRun& to) {
-  const bool is_first = range.phase == Phase::kGranting;
-  if (range.has_unanswered_grant || is_first) range.token = this->DrawToken();
-  range.call_lease =
-      this->in_trouble ? this->leases.longest : this->leases.ordinary;
-  range.held_before_call = range.may_hold_until;
-  range.may_hold_until = std::max(
-      range.may_hold_until,
-      this->rules.lease_end(this->step_time + kOrderTravel, range.call_lease));
-  range.is_extended = this->in_trouble;
-  this->Send(service, range, to,
-             RangeGrantCall{to.id, range.keys, range.token, range.call_lease,
-                            is_first ? range.handover : Handover()},
-             this->step_time + kGrantLimit);
-}
-
-void RangeKeeper::OnResult(const ControlResult& result, MonotonicTime now) {
-  this->step_time = now;
-  this->NoteReach(
-      result.upstream,
-      result.answer || result.answer.error() == ControlError::kStaleToken, now);
-  for (auto& [service, ranges] : this->services) {
-    for (Range& range : ranges) {
-      if (range.call != result.id) continue;
-      range.call.reset();
-      if (range.phase == Phase::kReleasing) {
-        this->OnReleaseResult(range, result, now);
-      } else {
-        this->OnGrantResult(service, range, result, now);
-      }
-      return;
-    }
-  }
-}
-
-void RangeKeeper::OnGrantResult(const ServiceName& service, Range& range,
-                                const ControlResult& result,
-                                MonotonicTime now) {
-  if (!result.answer) {
-    this->OnGrantFailed(range, result.answer.error(), now);
-    // Another upstream has the address, so the holder has ended.
-    if (result.answer.error() == ControlError::kOtherInstance &&
-        range.phase == Phase::kHeld) {
-      this->LetGo(service, range, "holder_replaced");
-    }
-    return;
-  }
-  range.unanswered = 0;
-  range.failed_attempts = 0;
-  // The answered grant takes the place of all earlier ones, longer ones too.
-  range.may_hold_until = this->rules.lease_end(now, range.call_lease);
-  // It has a token above those of the unanswered ones. The
-  // record of a move has to tell so before the successor is granted the keys.
-  const bool is_now_safe = std::exchange(range.has_unanswered_grant, false);
-  if (is_now_safe && range.phase == Phase::kSaving) {
-    range.needs_change = ++this->change;
-  }
-  range.next_call =
-      range.call_sent + range.call_lease * (100 - kRenewAtPercent) / 100;
-  if (range.phase != Phase::kGranting) return;
-  range.holder = std::exchange(range.successor, std::nullopt);
-  range.handover = Handover();
-  range.successor_may_hold_until = MonotonicTime();
-  ++this->change;
-  this->SetPhase(service, range, Phase::kHeld, "granted");
-}
-
-void RangeKeeper::OnGrantFailed(Range& range, ControlError error,
-                                MonotonicTime now) {
-  range.next_call = now + kRetryPause;
-  range.is_extended = false;
-  ++range.failed_attempts;
-  if (error == ControlError::kNotSent ||
-      error == ControlError::kOtherInstance ||
-      error == ControlError::kStaleToken) {
-    // The grant was not carried out and will not be.
-    range.may_hold_until = range.held_before_call;
-    return;
-  }
-  range.has_unanswered_grant = true;
-  ++range.unanswered;
-}
-
-void RangeKeeper::OnReleaseResult(Range& range, const ControlResult& result,
-                                  MonotonicTime now) {
-  const bool has_ended =
-      !result.answer && result.answer.error() == ControlError::kOtherInstance;
-  if (!result.answer && !has_ended) {
-    range.next_call = now + kRetryPause;
-    return;
-  }
-  if (result.answer) {
-    const auto& answer = std::get<RangeReleaseAnswer>(*result.answer);
-    if (!answer.handover.IsEmpty()) range.handover = answer.handover;
-  }
-  range.holder_released = true;
-}
-
-void RangeKeeper::NoteReach(const UpstreamId& id, bool reached,
-                            MonotonicTime now) {
-  Reach& row = this->reach[id];
-  row.failures = reached ? 0 : row.failures + 1;
-  if (!reached) row.last_failure = now;
-}
-
-bool RangeKeeper::IsUnreachable(const UpstreamRun& run,
-                                MonotonicTime now) const {
-  const auto found = this->reach.find(run.id);
-  return found != this->reach.end() && found->second.failures >= 2 &&
-         now - found->second.last_failure < kUnreachableTime;
-}
-
-double RangeKeeper::UnreachableShare(MonotonicTime now) const {
-  std::set<UpstreamRun> holders;
-  for (const auto& [service, ranges] : this->services) {
-    for (const Range& range : ranges) {
-      if (range.holder && this->Find(*range.holder) != nullptr) {
-        holders.insert(*range.holder);
-      }
-    }
-  }
-  if (holders.empty()) return 0;
-  const auto lost = std::count_if(holders.begin(), holders.end(),
-                                  [this, now](const UpstreamRun& run) {
-                                    return this->IsUnreachable(run, now);
-                                  });
-  return static_cast<double>(lost) / static_cast<double>(holders.size());
-}
-
 std::map<ServiceName, std::vector<RecordedRange>> RangeKeeper::ToRecord()
     const {
   std::map<ServiceName, std::vector<RecordedRange>> recorded;
@@ -567,4 +422,8 @@
   return std::exchange(this->events, {});
 }
 
+std::vector<OrderEvent> RangeKeeper::TakeOrderEvents() {
+  return std::exchange(this->order_events, {});
+}
+
 }  // namespace bamboorack::upstream
--- a/unittests/daemon/ownership_duty_test.cc
+++ b/unittests/daemon/ownership_duty_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -126,8 +127,14 @@
         if (std::holds_alternative<upstream::RangeReleaseCall>(order.request)) {
           answer = upstream::RangeReleaseAnswer{Handover("h")};
         }
-        this->Take(this->duty.OnControl({order.id, order.upstream, answer},
-                                        this->now));
+        tl::expected<upstream::ControlAnswer, upstream::ControlError> outcome =
+            answer;
+        if (this->answer_status != 200) {
+          outcome = tl::make_unexpected(upstream::ControlError::kBadAnswer);
+        }
+        this->Take(this->duty.OnControl(
+            {order.id, order.upstream, outcome, this->answer_status},
+            this->now));
       }
     }
   }
@@ -140,6 +147,8 @@
                      metrics,
                      now};
   std::optional<std::string> record;
+  /// What upstreams answer to orders.
+  int answer_status = 200;
   LogOffset log_end{0};
   GatewayTables tables;
   std::vector<StoreCall> store_calls;
@@ -194,6 +203,53 @@
   }
 }
 
+SCENARIO("an order cannot be followed in the log") {
+  Fixture fixture;
+  fixture.Update(Topic::kDesiredState, {{"state", "3"}});
+  fixture.Update(Topic::kUpstreams, {{"u0", "reader"}});
+  fixture.Run(seconds(2));
+  const auto lines = [&fixture](const std::string& what) {
+    std::vector<std::map<std::string, std::string>> found;
+    for (const BeliefEvent& event : fixture.events) {
+      if (event.what != what) continue;
+      found.emplace_back(event.fields.begin(), event.fields.end());
+    }
+    return found;
+  };
+
+  THEN("the first grant has its upstream, token, lease and outcome") {
+    const auto sent = lines("grant_sent");
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].at("upstream") == "u0");
+    CHECK(sent[0].at("keys") == "0-65535");
+    CHECK(sent[0].at("lease_ms") == "3000");
+    const auto answered = lines("grant_answered");
+    REQUIRE(answered.size() == 1);
+    CHECK(answered[0].at("order") == sent[0].at("order"));
+    CHECK(answered[0].at("token") == sent[0].at("token"));
+  }
+  THEN("renewals that are answered fill no line") {
+    fixture.Run(seconds(20));
+    CHECK(lines("grant_sent").size() == 1);
+  }
+  THEN("an order that fails has its error and the status of the answer") {
+    fixture.answer_status = 500;
+    fixture.Run(seconds(2));
+    const auto failed = lines("grant_failed");
+    REQUIRE_FALSE(failed.empty());
+    CHECK(failed[0].at("error") == "bad_answer");
+    CHECK(failed[0].at("status") == "500");
+  }
+  THEN(
+      "a leader tells from which record it took over, and until when leases "
+      "may last") {
+    const auto taken = lines("leadership_taken");
+    REQUIRE(taken.size() == 1);
+    CHECK(taken[0].at("from_term") == "0");
+    CHECK(taken[0].at("leases_left_ms") == "11200");
+  }
+}
+
 SCENARIO("changes of owners are applied to a map that misses others") {
   Fixture fixture;
   fixture.Update(Topic::kDesiredState, {{"state", "3"}});
