unittests: a longer lease outlives the one that is granted after it

The simulated upstream replaced a hold by the next grant for the same keys, as the keeper believes. The simulated upstream now keeps the longer hold, works on requests, and answers a release when the work on the keys has ended.

--- a/unittests/upstream/range_keeper_test.cc
+++ b/unittests/upstream/range_keeper_test.cc
@@ -312,6 +312,68 @@
   }
 }
 
+SCENARIO("keys move while a longer lease of their holder still runs") {
+  GIVEN("a with the longest lease, renewed for an ordinary one") {
+    RangeWorld world({"a", "b"});
+    world.Move(0, 65'535, "a");
+    world.Run(milliseconds(200));
+    world.in_trouble = true;
+    world.Run(milliseconds(100));
+    world.in_trouble = false;
+    const MonotonicTime longest_end =
+        world.now - milliseconds(100) + seconds(10);
+    const auto b_waits = [&] {
+      while (world.now < longest_end) {
+        world.Run(milliseconds(50));
+        world.ExpireCalls(milliseconds(400));
+        if (world.HoldersOf(100).size() > 1) return false;
+      }
+      return true;
+    };
+    WHEN("the same leader renews, and a cannot be reached any more") {
+      world.Run(milliseconds(3'500));
+      world.unreachable[UpstreamId("a")] = true;
+      world.Move(0, 65'535, "b");
+      THEN("b gets nothing before the longest lease has run out") {
+        CHECK(b_waits());
+        CHECK(world.HoldersOf(100) != Names{"b"});
+        world.Run(milliseconds(1'500));
+        CHECK(world.HoldersOf(100) == Names{"b"});
+      }
+    }
+    WHEN("another leader renews with a higher token, and a is lost") {
+      world.Elect(world.Record());
+      world.Run(milliseconds(500));
+      world.unreachable[UpstreamId("a")] = true;
+      world.Move(0, 65'535, "b");
+      THEN("b gets nothing before the longest lease has run out") {
+        CHECK(b_waits());
+      }
+    }
+    WHEN("a works on a key, and its release is not answered in time") {
+      world.Run(milliseconds(3'500));
+      world.upstreams[UpstreamId("a")].BeginWork(
+          ShardKey(100), world.now, world.now + milliseconds(5'500));
+      world.Move(0, 65'535, "b");
+      world.Run(seconds(5));
+      THEN("b gets nothing while a works on it") {
+        CHECK_FALSE(world.has_early_grant);
+        CHECK(world.HoldersOf(100).empty());
+        world.Run(milliseconds(1'500));
+        CHECK(world.HoldersOf(100) == Names{"b"});
+      }
+    }
+    WHEN("a can be reached and lets go") {
+      world.Run(milliseconds(3'500));
+      world.Move(0, 65'535, "b");
+      THEN("b gets the keys at once") {
+        world.Run(milliseconds(500));
+        CHECK(world.HoldersOf(100) == Names{"b"});
+      }
+    }
+  }
+}
+
 TEST_CASE("a grant that was never sent keeps keys from a lost upstream") {
   RangeWorld world({"a", "b"});
   world.Move(0, 65'535, "a");
--- a/unittests/upstream/range_script.cc
+++ b/unittests/upstream/range_script.cc
@@ -13,6 +13,7 @@
 constexpr std::size_t kUpstreams = 3;
 // Every answer that is due has come, or failed, after this time.
 constexpr milliseconds kAnswerLimit{400};
+constexpr milliseconds kLongestWork{3'000};
 // The longest lease with its drift, and a move.
 constexpr seconds kLongestWait{14};
 // A key of each range that the scripts move, and the ends.
@@ -47,7 +48,7 @@
 
  private:
   using Action = void (ScriptRunner::*)(const RangeStep&);
-  static const std::array<Action, 20> kActions;
+  static const std::array<Action, 24> kActions;
 
   void Apply(const RangeStep& step) {
     (this->*kActions.at(step.kind % kActions.size()))(step);
@@ -148,6 +149,30 @@
     this->EndSilence(successor);
     this->Cut(successor);
   }
+  /// The holder of a key begins a request that takes up to 3 s.
+  void Work(const RangeStep& step) {
+    const ShardKey key(kWatchedKeys.at(step.first % kWatchedKeys.size()));
+    const MonotonicTime end =
+        this->world.now + milliseconds(step.second % kLongestWork.count());
+    for (auto& [id, upstream] : this->world.upstreams) {
+      upstream.BeginWork(key, this->world.now, end);
+    }
+  }
+  /// Keys move while their holder works on them. The release is cut off, or
+  /// the leader changes, in half of the steps each.
+  void MoveDuringWork(const RangeStep& step) {
+    for (std::uint32_t i = 0; i < kWatchedKeys.size(); ++i) {
+      this->Work({0, i, step.second, milliseconds(0)});
+    }
+    this->Move(step);
+    this->Wait(milliseconds(200 + step.first % 1'000));
+    if (step.first % 2 == 0) {
+      this->ResetReleases(step);
+    } else {
+      this->Elect(step);
+    }
+  }
+  void ResetReleases(const RangeStep& /*step*/) { this->world.ResetPending(); }
   void StoreFault(const RangeStep& step) {
     this->world.in_trouble = step.second % 2 == 0;
     this->saves_record = step.first % 2 == 0;
@@ -175,7 +200,9 @@
     if (this->world.has_low_token) {
       this->outcome.violation = "keys were granted with a token too low";
     }
-
+    if (this->world.has_early_grant) {
+      this->outcome.violation = "keys were granted while their holder worked";
+    }
     for (const std::uint16_t key : kWatchedKeys) {
       const auto holders = this->world.HoldersOf(key);
       if (holders.size() <= 1) continue;
@@ -214,7 +241,7 @@
 
 // Moves, changes of leader and late orders come more often than other faults,
 // since two holders need several of them in a row.
-const std::array<ScriptRunner::Action, 20> ScriptRunner::kActions = {
+const std::array<ScriptRunner::Action, 24> ScriptRunner::kActions = {
     &ScriptRunner::Move,
     &ScriptRunner::Move,
     &ScriptRunner::Elect,
@@ -234,7 +261,11 @@
     &ScriptRunner::RestartAndRegister,
     &ScriptRunner::Lapse,
     &ScriptRunner::Return,
-    &ScriptRunner::StoreFault};
+    &ScriptRunner::StoreFault,
+    &ScriptRunner::Work,
+    &ScriptRunner::Work,
+    &ScriptRunner::MoveDuringWork,
+    &ScriptRunner::ResetReleases};
 
 }  // namespace
 
--- a/unittests/upstream/range_world.h
+++ b/unittests/upstream/range_world.h
@@ -1,6 +1,7 @@
 #ifndef BAMBOORACK_UNITTESTS_UPSTREAM_RANGE_WORLD_H_
 #define BAMBOORACK_UNITTESTS_UPSTREAM_RANGE_WORLD_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -18,7 +19,8 @@
 /// An upstream that checks tokens, as the rules of the platform tell: it
 /// refuses a grant below the highest token that it saw for one of the keys,
 /// and counts a lease from the arrival of the call, even if it carries the
-/// call out later.
+/// call out later. Where the rules leave a choice it takes the one that holds
+/// keys longest and that tells least.
 class TokenUpstream {
  public:
   struct Hold {
@@ -35,14 +37,42 @@
       if (Overlap(keys, call.range) && call.token < token) return false;
     }
     this->seen.emplace_back(call.range, call.token);
-    this->Cut(call.range);
+    // A longer hold of the same keys stays.
     this->holds.push_back(
         {call.range, call.token,
          arrived + call.lease + call.lease * kLeaseDriftPercent / 100});
     return true;
   }
 
-  void Release(const RangeReleaseCall& call) { this->Cut(call.range); }
+  /// Takes the keys back. Returns when the call is answered: when the work has
+  /// ended that runs on them.
+  MonotonicTime Release(const RangeReleaseCall& call, MonotonicTime now) {
+    MonotonicTime answered = now;
+    for (Work& work : this->works) {
+      if (!call.range.Contains(work.key) || work.end <= now) continue;
+      const MonotonicTime hold_end = this->HoldEnd(work.key);
+      if (!work.lease_end) work.lease_end = hold_end;
+      answered = std::max(answered, work.end);
+    }
+    this->Cut(call.range);
+    return answered;
+  }
+
+  /// Begins a request for `key` that takes until `end`, if the key is held.
+  void BeginWork(ShardKey key, MonotonicTime now, MonotonicTime end) {
+    if (this->Holds(key, now)) this->works.push_back({key, end, {}});
+  }
+
+  /// Whether a request for one of the keys still runs within the lease under
+  /// which it may run.
+  bool IsAtWork(const KeyRange& keys, MonotonicTime now) const {
+    return std::any_of(
+        this->works.begin(), this->works.end(), [&](const Work& work) {
+          const MonotonicTime lease_end =
+              work.lease_end.value_or(this->HoldEnd(work.key));
+          return keys.Contains(work.key) && now < work.end && now < lease_end;
+        });
+  }
 
   bool Holds(ShardKey key, MonotonicTime now) const {
     for (const Hold& hold : this->holds) {
@@ -55,6 +85,7 @@
   void Restart() {
     this->holds.clear();
     this->seen.clear();
+    this->works.clear();
   }
 
   bool refuses_stale_tokens = true;
@@ -88,10 +119,33 @@
     this->holds = std::move(kept);
   }
 
+  struct Work {
+    ShardKey key;
+    MonotonicTime end;
+    /// Set when the key is taken back: when its lease would have run out.
+    std::optional<MonotonicTime> lease_end;
+  };
+
+  MonotonicTime HoldEnd(ShardKey key) const {
+    MonotonicTime end;
+    for (const Hold& hold : this->holds) {
+      if (hold.keys.Contains(key)) end = std::max(end, hold.until);
+    }
+    return end;
+  }
+
   std::vector<Hold> holds;
+  std::vector<Work> works;
   std::vector<std::pair<KeyRange, FencingToken>> seen;
 };
 
+/// An answer that is on its way, or waits for the end of the work.
+struct PendingAnswer {
+  ControlCall call;
+  MonotonicTime due;
+  ControlAnswer answer;
+};
+
 /// An order that was not answered and that its upstream may still carry out.
 struct LateCall {
   ControlCall call;
@@ -130,6 +184,7 @@
     this->term = Term(this->term.value + 1);
     this->keeper.emplace(RangeLeases{}, this->rules);
     this->unanswered.clear();
+    this->pending.clear();
     this->saved = 0;
     this->keeper->TakeOver(record, this->term,
                            this->keeper->LatestLeaseEnd(this->now), this->now);
@@ -150,6 +205,7 @@
     const MonotonicTime end = this->now + span;
     while (this->now < end) {
       this->now += std::chrono::milliseconds(50);
+      this->AnswerPending();
       if (saves_record) {
         this->saved = this->keeper->Change();
         this->saved_record = this->Record();
@@ -171,8 +227,35 @@
         this->Answer(call, tl::make_unexpected(ControlError::kNotSent));
         continue;
       }
+      if (const auto* release = std::get_if<RangeReleaseCall>(&call.request)) {
+        const MonotonicTime due =
+            this->upstreams[call.upstream].Release(*release, this->now);
+        this->pending.push_back({call, due, this->HandoverOf(call)});
+        continue;
+      }
       this->Answer(call, this->CarryOut(call, this->now));
     }
+    this->AnswerPending();
+  }
+
+  /// Gives the answers that are due, and fails the calls whose time is over.
+  void AnswerPending() {
+    for (const PendingAnswer& row : std::exchange(this->pending, {})) {
+      if (row.due <= this->now) {
+        this->Answer(row.call, row.answer);
+      } else if (row.call.deadline <= this->now) {
+        this->Answer(row.call, tl::make_unexpected(ControlError::kUnreachable));
+      } else {
+        this->pending.push_back(row);
+      }
+    }
+  }
+
+  /// The connections of all releases that wait for their answer are reset.
+  void ResetPending() {
+    for (const PendingAnswer& row : std::exchange(this->pending, {})) {
+      this->Answer(row.call, tl::make_unexpected(ControlError::kUnreachable));
+    }
   }
 
   tl::expected<ControlAnswer, ControlError> CarryOut(const ControlCall& call,
@@ -182,10 +265,17 @@
       if (!upstream.Grant(*grant, arrived)) {
         return tl::make_unexpected(ControlError::kStaleToken);
       }
-      if (arrived == this->now) this->NoteToken(call.upstream, *grant);
+      if (arrived == this->now) {
+        this->NoteWork(call.upstream, *grant);
+        this->NoteToken(call.upstream, *grant);
+      }
       return RangeGrantAnswer{};
     }
-    upstream.Release(std::get<RangeReleaseCall>(call.request));
+    upstream.Release(std::get<RangeReleaseCall>(call.request), this->now);
+    return this->HandoverOf(call);
+  }
+
+  static ControlAnswer HandoverOf(const ControlCall& call) {
     return RangeReleaseAnswer{Handover("h-" + call.upstream.value)};
   }
 
@@ -215,6 +305,14 @@
     }
   }
 
+  /// Notes whether another upstream still works on keys that `id` was granted.
+  void NoteWork(const UpstreamId& id, const RangeGrantCall& grant) {
+    for (const auto& [other, upstream] : this->upstreams) {
+      if (other == id) continue;
+      this->has_early_grant |= upstream.IsAtWork(grant.range, this->now);
+    }
+  }
+
   /// Remembers the token with which an upstream got keys, and whether another
   /// one had them with a higher token before.
   void NoteToken(const UpstreamId& id, const RangeGrantCall& grant) {
@@ -264,6 +362,7 @@
   std::map<UpstreamId, bool> unreachable;
   /// Calls whose answer the present leader waits for.
   std::vector<LateCall> unanswered;
+  std::vector<PendingAnswer> pending;
   /// How long calls that are not answered are on their way.
   std::chrono::milliseconds travel{0};
   /// Calls of all leaders that an upstream may still carry out.
@@ -272,6 +371,8 @@
   /// Keys that each upstream was granted, with the tokens.
   std::map<UpstreamId, std::vector<std::pair<KeyRange, FencingToken>>> grants;
   bool has_low_token = false;
+  /// Keys were granted on while their last holder still worked on them.
+  bool has_early_grant = false;
   bool in_trouble = false;
   std::uint64_t saved = 0;
   OwnershipRecord saved_record;
