upstream: a later grant does not end a longer one

Cause: since the keeper took an answered grant for the end of all earlier ones, longer ones too. After a grant for the longest lease (10 s, before an outage of the store) and an ordinary one (3 s) the keeper gave the keys of a lost or busy holder on up to 7 s early. Statements and released records passed the same belief on to the next leader.

Change: an answered grant never makes the end of a hold earlier; an answered release, which stops work on the keys, and the end of the longest lease do. This rule of a move stands in range_rules.h with the others, and the fuzz shows that it is needed.

The test "its keys wait for an ordinary lease, not for the longest" asserted the wrong belief. It is replaced by two: the keys wait for the longest lease of a former leader that said nothing, and for its statement if there is one.

--- a/include/bamboorack/upstream/range_rules.h
+++ b/include/bamboorack/upstream/range_rules.h
@@ -1,6 +1,7 @@
 #ifndef BAMBOORACK_UPSTREAM_RANGE_RULES_H_
 #define BAMBOORACK_UPSTREAM_RANGE_RULES_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 
@@ -17,6 +18,9 @@
   /// clock.
   MonotonicTime (*lease_end)(MonotonicTime start,
                              std::chrono::milliseconds lease);
+  /// Until when an upstream may hold keys that it was granted until `granted`,
+  /// if it may have held them until `earlier` before.
+  MonotonicTime (*hold_end)(MonotonicTime earlier, MonotonicTime granted);
   /// Whether an answered release proves that the upstream holds nothing.
   bool (*is_release_proof)(bool has_unanswered_grant);
   /// Whether an order that needs `needed_change` in the record may be sent.
@@ -39,6 +43,11 @@
   return start + lease + lease * kLeaseDriftPercent / 100;
 }
 
+/// A later grant, under whatever token, is not known to end a longer one.
+inline MonotonicTime EndOfHold(MonotonicTime earlier, MonotonicTime granted) {
+  return std::max(earlier, granted);
+}
+
 inline bool IsReleaseProof(bool has_unanswered_grant) {
   return !has_unanswered_grant;
 }
@@ -51,8 +60,9 @@
   return leases_end;
 }
 
-inline constexpr RangeRules kRangeRules = {
-    &EndOfLease, &IsReleaseProof, &MayOrder, &EndOfSuccessor, &FirstTokenOf};
+inline constexpr RangeRules kRangeRules = {&EndOfLease,     &EndOfHold,
+                                           &IsReleaseProof, &MayOrder,
+                                           &EndOfSuccessor, &FirstTokenOf};
 
 }  // namespace bamboorack::upstream
 
--- a/lib/upstream/range_keeper_orders.cc
+++ b/lib/upstream/range_keeper_orders.cc
@@ -117,8 +117,8 @@
   }
   range.unanswered = 0;
   range.failed_attempts = 0;
-  // The answered grant takes the place of all earlier ones, longer ones too.
-  range.may_hold_until = this->rules.lease_end(now, range.call_lease);
+  range.may_hold_until = this->rules.hold_end(
+      range.held_before_call, this->rules.lease_end(now, range.call_lease));
   // It has a token above those of the unanswered ones. The
   // record of a move has to tell so before the successor is granted the keys.
   const bool is_now_safe = std::exchange(range.has_unanswered_grant, false);
--- a/unittests/upstream/range_fuzz_test.cc
+++ b/unittests/upstream/range_fuzz_test.cc
@@ -63,6 +63,11 @@
     };
     CHECK(FindViolation(options).violation != "");
   }
+  SECTION("a later grant does not end a longer one") {
+    options.rules.hold_end = [](MonotonicTime /*earlier*/,
+                                MonotonicTime granted) { return granted; };
+    CHECK(FindViolation(options).violation != "");
+  }
   SECTION("a release proves nothing while a grant is unanswered") {
     options.rules.is_release_proof = [](bool /*unanswered*/) { return true; };
     CHECK(FindViolation(options).violation != "");
--- a/unittests/upstream/range_keeper_test.cc
+++ b/unittests/upstream/range_keeper_test.cc
@@ -261,10 +261,19 @@
     }
 
     WHEN("the leader changes, renews, and then a is lost") {
-      world.Elect(world.Record());
-      world.Run(milliseconds(200));
-      world.unreachable[UpstreamId("a")] = true;
-      THEN("its keys wait for an ordinary lease, not for the longest") {
+      THEN("its keys wait for the longest lease of the former leader") {
+        world.Elect(world.Record());
+        world.Run(milliseconds(200));
+        world.unreachable[UpstreamId("a")] = true;
+        world.Run(milliseconds(10'500));
+        CHECK_FALSE(world.keeper->Ranges(kService).front().is_free);
+        world.Run(milliseconds(1'000));
+        CHECK(world.keeper->Ranges(kService).front().is_free);
+      }
+      THEN("they wait less if the former leader told when its leases end") {
+        world.Elect(world.Record(), world.keeper->LastLeaseEnd());
+        world.Run(milliseconds(200));
+        world.unreachable[UpstreamId("a")] = true;
         world.Run(milliseconds(2'500));
         CHECK_FALSE(world.keeper->Ranges(kService).front().is_free);
         world.Run(milliseconds(1'000));
--- a/unittests/upstream/range_world.h
+++ b/unittests/upstream/range_world.h
@@ -179,15 +179,19 @@
     this->Elect({});
   }
 
-  /// A new leader takes over what `record` says.
-  void Elect(const OwnershipRecord& record) {
+  /// A new leader takes over what `record` says. Without a word of the former
+  /// one on the end of its leases, it assumes the longest.
+  void Elect(const OwnershipRecord& record,
+             std::optional<MonotonicTime> leases_end = std::nullopt) {
     this->term = Term(this->term.value + 1);
     this->keeper.emplace(RangeLeases{}, this->rules);
     this->unanswered.clear();
     this->pending.clear();
     this->saved = 0;
-    this->keeper->TakeOver(record, this->term,
-                           this->keeper->LatestLeaseEnd(this->now), this->now);
+    this->keeper->TakeOver(
+        record, this->term,
+        leases_end.value_or(this->keeper->LatestLeaseEnd(this->now)),
+        this->now);
     this->keeper->SetUpstreams(this->entries, this->now);
     this->keeper->SetServices({kService});
   }
