upstream: keys that wait for the record stay a range of their own

Cause: found while looking for other places where an order may rest on something that is not proved. When the successor of a move leaves the registry, the holder gets no grant until the record no longer names the successor. The next step merged these keys with the holder's other ranges, and the merged range took the condition of its first part, so a renewal was sent at once. If it is not answered and the leader changes, the next leader reads that no grant to the holder is unanswered and takes the answer to a release as a proof, and the renewal may still be carried out.

Change: ranges are merged when neither waits for the record.

--- a/lib/upstream/range_keeper.cc
+++ b/lib/upstream/range_keeper.cc
@@ -205,7 +205,10 @@
     const bool fits =
         before != nullptr && before->phase == range.phase &&
         (range.phase == Phase::kHeld || range.phase == Phase::kFree) &&
-        before->holder == range.holder && !before->call && !range.call;
+        before->holder == range.holder && !before->call && !range.call &&
+        // Orders that wait for the record go on waiting.
+        this->rules.may_order(this->saved, before->needs_change) &&
+        this->rules.may_order(this->saved, range.needs_change);
     if (!fits) {
       merged.push_back(std::move(range));
       continue;
--- a/unittests/upstream/range_keeper_test.cc
+++ b/unittests/upstream/range_keeper_test.cc
@@ -165,6 +165,27 @@
       }
     }
 
+    WHEN("the successor of a part of a's keys leaves before the move") {
+      world.Move(1'000, 1'999, "b");
+      world.entries.pop_back();
+      world.keeper->SetUpstreams(world.entries, world.now);
+      world.Run(milliseconds(50));
+      const std::size_t sent_before = world.sent.size();
+      THEN("a is granted nothing of it while the record names the successor") {
+        world.Run(milliseconds(2'500), false);
+        for (std::size_t i = sent_before; i < world.sent.size(); ++i) {
+          const auto& grant = std::get<RangeGrantCall>(world.sent[i].request);
+          CHECK_FALSE(grant.range.Contains(ShardKey(1'500)));
+        }
+        CHECK(world.HoldersOf(500) == Names{"a"});
+      }
+      THEN("with the next record all of a's keys are one range again") {
+        world.Run(milliseconds(2'500));
+        CHECK(world.keeper->Ranges(kService).size() == 1);
+        CHECK(world.HoldersOf(1'500) == Names{"a"});
+      }
+    }
+
     WHEN("the leader changes in the middle of a move") {
       world.Move(0, 65'535, "b");
       const OwnershipRecord record = world.Record();
