upstream: a record tells that free keys may have been granted

A record's flag says that a grant to the holder is unanswered and that the successor has been granted nothing. It was also set for keys without a holder: a leader that took over free keys set it for each range, and so did a new run of the successor. The successor is then granted the keys without another record, so the next leader took them as free when the successor was not in its registry, and gave them to another upstream at once.

Change: the flag is set and read only with a holder. A move without a holder means that the successor may hold the keys.

The simulated leader of the fuzz saves a record when a change must be saved and every 300 ms, as a daemon does, instead of at each step, and half of the changes of leader come with the former one's statement.

--- a/include/bamboorack/upstream/ownership_record.h
+++ b/include/bamboorack/upstream/ownership_record.h
@@ -21,9 +21,10 @@
   std::optional<UpstreamRun> holder;
   /// Set while the keys move: they may already be held there.
   std::optional<UpstreamRun> successor;
-  /// Of keys that move: a grant to the holder was not answered and may be
-  /// carried out later; the successor has been granted nothing yet. If not set,
-  /// no grant is sent to the holder while the move lasts.
+  /// Of keys that move away from a holder: a grant to the holder was not
+  /// answered and may be carried out later; the successor has been granted
+  /// nothing yet. If not set, no grant is sent to the holder while the move
+  /// lasts, and the successor may have been granted the keys.
   bool has_unanswered_grant = false;
 
   bool operator==(const RecordedRange&) const = default;
--- a/lib/upstream/range_keeper.cc
+++ b/lib/upstream/range_keeper.cc
@@ -63,9 +63,10 @@
       range.token = this->DrawToken();
       range.next_call = now;
       range.may_hold_until = leases_end;
-      range.has_unanswered_grant = true;
+      range.has_unanswered_grant = row.holder.has_value();
       range.successor = row.successor;
-      const bool may_be_granted = row.successor && !row.has_unanswered_grant;
+      const bool may_be_granted =
+          row.successor && (!row.holder || !row.has_unanswered_grant);
       if (may_be_granted) {
         range.successor_may_hold_until = this->rules.successor_end(leases_end);
         range.has_unanswered_grant = false;
@@ -392,8 +393,9 @@
     for (const Range& range : ranges) {
       const bool is_moving =
           range.phase == Phase::kSaving || range.phase == Phase::kReleasing;
-      recorded[service].push_back({range.keys, range.holder, range.successor,
-                                   is_moving && range.has_unanswered_grant});
+      recorded[service].push_back(
+          {range.keys, range.holder, range.successor,
+           is_moving && range.holder && range.has_unanswered_grant});
     }
   }
   return recorded;
--- a/unittests/upstream/range_keeper_test.cc
+++ b/unittests/upstream/range_keeper_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "upstream/range_world.h"
@@ -404,6 +405,53 @@
   }
 }
 
+SCENARIO("the next leader does not know who was granted free keys") {
+  RangeWorld world({"a", "b"});
+  // The keys are given to whoever can be had, as the planner does.
+  const auto b_waits = [&world] {
+    for (int i = 0; i < 40; ++i) {
+      world.Move(0, 65'535, "b");
+      world.Run(milliseconds(50));
+      if (world.HoldersOf(100).size() > 1) return false;
+    }
+    return true;
+  };
+  GIVEN("keys that the second leader takes over free and grants to a") {
+    world.Elect(world.Record());
+    world.Move(0, 65'535, "a");
+    world.Run(milliseconds(50));
+    world.Run(milliseconds(100), false);
+    REQUIRE(world.HoldersOf(100) == Names{"a"});
+    WHEN("the third leader takes over and a has left the registry") {
+      world.entries.erase(world.entries.begin());
+      world.Elect(world.saved_record);
+      THEN("b waits for the end of a's lease") { CHECK(b_waits()); }
+    }
+    WHEN("the third leader has not read the registry") {
+      const auto entries = std::exchange(world.entries, {});
+      world.Elect(world.saved_record);
+      world.Run(milliseconds(50));
+      world.entries = entries;
+      world.keeper->SetUpstreams(world.entries, world.now);
+      THEN("b waits for the end of a's lease") { CHECK(b_waits()); }
+    }
+  }
+  GIVEN("free keys whose successor starts again before it is granted them") {
+    world.Move(0, 65'535, "a");
+    world.entries[0] = MakeEntry("a", 2);
+    world.keeper->SetUpstreams(world.entries, world.now);
+    world.Run(milliseconds(50), false);
+    world.Run(milliseconds(50));
+    world.Run(milliseconds(100), false);
+    REQUIRE(world.HoldersOf(100) == Names{"a"});
+    WHEN("the leader changes and a has left the registry") {
+      world.entries.erase(world.entries.begin());
+      world.Elect(world.saved_record);
+      THEN("b waits for the end of a's lease") { CHECK(b_waits()); }
+    }
+  }
+}
+
 TEST_CASE("a grant that was never sent keeps keys from a lost upstream") {
   RangeWorld world({"a", "b"});
   world.Move(0, 65'535, "a");
--- a/unittests/upstream/range_script.cc
+++ b/unittests/upstream/range_script.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <string_view>
 
 namespace bamboorack::upstream::testing {
@@ -135,8 +136,11 @@
     this->world.entries.push_back(MakeEntry(id.value, 1 + this->lives[id]));
     this->Publish();
   }
-  void Elect(const RangeStep& /*step*/) {
-    this->world.Elect(this->world.saved_record);
+  /// In half of the steps the former leader tells when its leases end.
+  void Elect(const RangeStep& step) {
+    std::optional<MonotonicTime> leases_end;
+    if (step.first % 2 == 0) leases_end = this->world.keeper->LastLeaseEnd();
+    this->world.Elect(this->world.saved_record, leases_end);
   }
   /// The leader changes while the first grant to the successor of a move is
   /// not answered; the successor is lost to the next leader.
--- a/unittests/upstream/range_world.h
+++ b/unittests/upstream/range_world.h
@@ -210,15 +210,22 @@
     while (this->now < end) {
       this->now += std::chrono::milliseconds(50);
       this->AnswerPending();
-      if (saves_record) {
-        this->saved = this->keeper->Change();
-        this->saved_record = this->Record();
-      }
+      if (saves_record) this->SaveRecord();
       this->Deliver(
           this->keeper->Step(this->saved, this->in_trouble, this->now));
     }
   }
 
+  /// Saves the record as a daemon does: when a change must be saved, and with
+  /// each renewal of the mandate.
+  void SaveRecord() {
+    const bool has_change = this->keeper->Change() > this->saved;
+    if (!has_change && this->now < this->next_renewal) return;
+    this->next_renewal = this->now + std::chrono::milliseconds(300);
+    this->saved = this->keeper->Change();
+    this->saved_record = this->Record();
+  }
+
   void Deliver(const std::vector<ControlCall>& calls) {
     for (const ControlCall& call : calls) {
       this->sent.push_back(call);
@@ -379,6 +386,7 @@
   bool has_early_grant = false;
   bool in_trouble = false;
   std::uint64_t saved = 0;
+  MonotonicTime next_renewal;
   OwnershipRecord saved_record;
   RangeRules rules;
   Term term;
