upstream: a lease lasts as long as a clock that is 2 % slow takes

The end of a lease was the lease and 2 % of it. A clock that counts 0.98 s in a second takes 10.204 s for a lease of 10 s, not 10.2 s. The simulated upstream used the same formula, so no test could see it.

Change: the lease divided by 0.98, rounded up to a millisecond.

--- a/include/bamboorack/upstream/range_rules.h
+++ b/include/bamboorack/upstream/range_rules.h
@@ -32,7 +32,7 @@
   FencingToken (*first_token)(Term term);
 };
 
-/// An upstream's clock may measure a lease 2 % too long.
+/// An upstream's clock may run this much too slow.
 inline constexpr int kLeaseDriftPercent = 2;
 /// The longest way of an order that is not answered: 0.4 s until it is
 /// abandoned, and then what waits at a slow link and cannot be called back.
@@ -40,7 +40,9 @@
 
 inline MonotonicTime EndOfLease(MonotonicTime start,
                                 std::chrono::milliseconds lease) {
-  return start + lease + lease * kLeaseDriftPercent / 100;
+  const std::chrono::nanoseconds on_slow_clock =
+      std::chrono::nanoseconds(lease) * 100 / (100 - kLeaseDriftPercent);
+  return start + std::chrono::ceil<std::chrono::milliseconds>(on_slow_clock);
 }
 
 /// A later grant, under whatever token, is not known to end a longer one.
--- a/unittests/upstream/range_keeper_test.cc
+++ b/unittests/upstream/range_keeper_test.cc
@@ -452,6 +452,14 @@
   }
 }
 
+TEST_CASE("a lease is taken for over on a clock that is 2 % slow") {
+  const MonotonicTime start;
+  for (const seconds lease : {seconds(3), seconds(10)}) {
+    CHECK(EndOfLease(start, lease) >=
+          start + TokenUpstream::OnSlowClock(lease));
+  }
+}
+
 TEST_CASE("a grant that was never sent keeps keys from a lost upstream") {
   RangeWorld world({"a", "b"});
   world.Move(0, 65'535, "a");
