upstream: a mandate counts from the first claim of its term

After two claims of one term without an answer, a read that shows the own record does not tell which of them took effect. The mandate was counted from the second one, up to a second after the first, so it could last 180 ms past the time at which a successor may claim. No course of events that leads to two holders was found, since a successor's tokens are higher.

Change: the mandate counts from the first claim of the term.

Measured: the new section fails before and passes after; the unit tests of upstream and daemon pass.

--- a/include/bamboorack/upstream/range_leadership.h
+++ b/include/bamboorack/upstream/range_leadership.h
@@ -109,7 +109,9 @@
   MonotonicTime observed_since;
   std::optional<LogOffset> lapsed_end;
   bool may_have_claimed = false;
+  /// When the first claim of `claim_term` without an answer was sent.
   MonotonicTime claim_sent;
+  Term claim_term;
   MonotonicTime not_before;
 
   // Of a leader.
--- a/lib/upstream/range_leadership.cc
+++ b/lib/upstream/range_leadership.cc
@@ -133,8 +133,12 @@
   // Whether it took effect, and who appended instead, stands in the log.
   this->needs_read = true;
   if (this->role == Role::kFollower) {
+    // Any of the claims of one term may be the one that took effect.
+    const bool is_first =
+        !this->may_have_claimed || this->claim_term != this->term;
+    if (is_first) this->claim_sent = sent;
+    this->claim_term = this->term;
     this->may_have_claimed = true;
-    this->claim_sent = sent;
     this->observed_end.reset();
   }
 }
--- a/unittests/upstream/range_leadership_test.cc
+++ b/unittests/upstream/range_leadership_test.cc
@@ -142,6 +142,29 @@
     }
   }
 
+  GIVEN("two claims of a term, the first of which takes effect late") {
+    const MonotonicTime start = now;
+    OwnershipRecord released = RecordOf("d1", 3);
+    released.is_released = true;
+    REQUIRE(own.Next(now, false) == Wish::kRead);
+    own.OnRead(released, LogOffset(9), now);
+    REQUIRE(own.Next(now, false) == Wish::kClaim);
+    own.OnAppendFailed(start, start + milliseconds(450));
+    REQUIRE(own.Next(start + milliseconds(550), false) == Wish::kRead);
+    // The read is answered late and does not show the first claim.
+    own.OnRead(released, LogOffset(9), start + milliseconds(990));
+    now = start + milliseconds(990);
+    REQUIRE(own.Next(now, false) == Wish::kClaim);
+    own.OnAppendFailed(now, now + milliseconds(60));
+    REQUIRE(own.Next(start + milliseconds(1'150), false) == Wish::kRead);
+    OwnershipRecord claimed = RecordOf("d0", own.OwnTerm().value);
+    claimed.instance = DaemonInstance("i0");
+    own.OnRead(claimed, LogOffset(10), start + milliseconds(1'200));
+    THEN("the mandate counts from the first one, as a successor counts") {
+      CHECK(own.MandateUntil() <= start + RangeLeadership::kMandate);
+    }
+  }
+
   GIVEN("a leader that is heard") {
     own.OnLeaderHeard(Term(2), now);
     THEN("the log is left alone") {
