daemon: an answer counts from when it was taken

Cause: the ownership thread read the clock at the beginning of a turn and handled each message of the turn with that time. An answer to a grant that came during a slow turn counted as if it had come at the turn's beginning, so the leader took the lease to end up to a turn too early and could give keys on while their holder still held them. In the same way a daemon counted the wait before a claim of the leadership from before the record that it had read, so a claim could fall into the leader's mandate.

Change: each message is handled with the time at which it is taken from its ring, the tick with the time after the inputs, and a suspension with the time after it was noticed.

Measured, release build: before, keys went to the next upstream 1,823 ms after the grant was carried out (lease with drift 2,040 ms), the answer counted as 0 ms after the grant instead of 300 ms, and the claim came 1,002 ms after the record (wait 1,250 ms). After, both new scenarios pass, and so do all daemon_tests. The new scenarios ran twice with the thread sanitizer, linked with only the objects that they need, without a report.

--- a/include/bamboorack/daemon/ownership_thread.h
+++ b/include/bamboorack/daemon/ownership_thread.h
@@ -7,7 +7,6 @@
 
 #include "bamboorack/core/event_log.h"
 #include "bamboorack/core/metrics.h"
-#include "bamboorack/core/time.h"
 #include "bamboorack/core/wakeup.h"
 #include "bamboorack/daemon/gateway_rings.h"
 #include "bamboorack/daemon/ownership_duty.h"
@@ -36,10 +35,11 @@
   using ActionHandler = void (OwnershipThread::*)(DutyAction&);
 
   void Run();
-  void HandleInputs(MonotonicTime now);
+  void HandleInputs();
+  /// Handles each message with the time at which it is taken from `ring`.
   template <typename Message, typename Handler>
-  void HandleAll(BoundedRing<Message>& ring, Handler handle, MonotonicTime now);
-  void CheckSuspension(MonotonicTime now);
+  void HandleAll(BoundedRing<Message>& ring, Handler handle);
+  void CheckSuspension();
   void CarryOut(DutyActions&& actions);
 
   void Publish(DutyAction& action);
--- a/lib/daemon/ownership_thread.cc
+++ b/lib/daemon/ownership_thread.cc
@@ -6,6 +6,8 @@
 #include <utility>
 #include <variant>
 
+#include "bamboorack/core/time.h"
+
 namespace bamboorack::daemon {
 namespace {
 
@@ -64,10 +66,10 @@
 
 void OwnershipThread::Run() {
   while (!this->is_stopping) {
-    const MonotonicTime now = steady_clock::now();
     if (this->must_begin_stop.exchange(false)) this->duty.BeginStop();
-    this->CheckSuspension(now);
-    this->HandleInputs(now);
+    this->CheckSuspension();
+    this->HandleInputs();
+    const MonotonicTime now = steady_clock::now();
     this->CarryOut(this->duty.Tick(now));
     this->is_ready = this->duty.IsReady();
     this->is_handed_over = this->duty.IsHandedOver();
@@ -75,28 +77,29 @@
   }
 }
 
-void OwnershipThread::CheckSuspension(MonotonicTime now) {
+void OwnershipThread::CheckSuspension() {
   const nanoseconds suspended = SuspendedTime();
   const nanoseconds length = suspended - this->suspended_before;
   this->suspended_before = suspended;
   if (length < kLeastSuspension) return;
-  this->CarryOut(this->duty.OnSuspended(length, now));
+  this->CarryOut(this->duty.OnSuspended(length, steady_clock::now()));
 }
 
 template <typename Message, typename Handler>
-void OwnershipThread::HandleAll(BoundedRing<Message>& ring, Handler handle,
-                                MonotonicTime now) {
+void OwnershipThread::HandleAll(BoundedRing<Message>& ring, Handler handle) {
   while (auto message = ring.TryPop()) {
-    this->CarryOut((this->duty.*handle)(std::move(*message), now));
+    // Leases and waits are counted from this time, so it must not be before
+    // the message came, which may be long after the turn began.
+    const MonotonicTime taken = steady_clock::now();
+    this->CarryOut((this->duty.*handle)(std::move(*message), taken));
   }
 }
 
-void OwnershipThread::HandleInputs(MonotonicTime now) {
-  this->HandleAll(this->rings.topics, &OwnershipDuty::OnTopic, now);
-  this->HandleAll(this->rings.gossip_to_control, &OwnershipDuty::OnGossip, now);
-  this->HandleAll(this->rings.store_results, &OwnershipDuty::OnStore, now);
-  this->HandleAll(this->rings.upstream_to_control, &OwnershipDuty::OnControl,
-                  now);
+void OwnershipThread::HandleInputs() {
+  this->HandleAll(this->rings.topics, &OwnershipDuty::OnTopic);
+  this->HandleAll(this->rings.gossip_to_control, &OwnershipDuty::OnGossip);
+  this->HandleAll(this->rings.store_results, &OwnershipDuty::OnStore);
+  this->HandleAll(this->rings.upstream_to_control, &OwnershipDuty::OnControl);
 }
 
 void OwnershipThread::CarryOut(DutyActions&& actions) {
--- /dev/null
+++ b/unittests/daemon/ownership_thread_test.cc
@@ -0,0 +1,262 @@
+#include "bamboorack/daemon/ownership_thread.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "bamboorack/core/bounded_ring.h"
+#include "bamboorack/core/event_log.h"
+#include "bamboorack/core/metrics.h"
+#include "bamboorack/daemon/gateway_rings.h"
+#include "bamboorack/daemon/ownership_duty.h"
+#include "bamboorack/upstream/ownership_codec.h"
+#include "bamboorack/upstream/range_leadership.h"
+#include "bamboorack/upstream/range_rules.h"
+
+namespace bamboorack::daemon {
+namespace {
+
+using log_service::KeyedAppend;
+using log_service::KeyedAppendFailure;
+using log_service::KeyedRecord;
+using log_service::KeyedRecords;
+using log_service::ReadFailure;
+using log_service::ReadTopic;
+using log_service::StoreCall;
+using log_service::StoreResult;
+using log_service::Topic;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+// Bounds each wait of a test that fails.
+constexpr seconds kPatience{20};
+constexpr milliseconds kLease{2'000};
+
+/// Reads `SERVICE` as an upstream's entry and `VERSION` as a desired state.
+/// Reading the entry of "slow" takes until the test lets it end.
+class SlowDocuments : public log_service::StateDocuments {
+ public:
+  std::string DesiredStateKey() const override { return "state"; }
+  tl::expected<DesiredState, std::string> ReadDesiredState(
+      const std::string& text) const override {
+    DesiredState state;
+    state.version = ConfigVersion(std::stoull(text));
+    state.services = {{ServiceName("reader"), 100, true}};
+    return state;
+  }
+  tl::expected<RegisteredUpstream, std::string> ReadUpstream(
+      const std::string& key, const std::string& text) const override {
+    if (key == "slow" && this->begun.TryPush(true)) {
+      this->ended.PopUntil(steady_clock::now() + kPatience);
+    }
+    RegisteredUpstream entry;
+    entry.run = {UpstreamId(key), UpstreamLife(1)};
+    entry.service = ServiceName(text);
+    entry.endpoint = {"10.0.0.1", 80};
+    entry.slots = 4;
+    return entry;
+  }
+
+  mutable BoundedRing<bool> begun{1};
+  mutable BoundedRing<bool> ended{1};
+};
+
+/// The thread of one daemon; the log and the upstreams are the test.
+class World {
+ public:
+  /// An item that the thread sent, and when the test took it.
+  template <typename Item>
+  struct Taken {
+    Item item;
+    MonotonicTime at;
+  };
+
+  ~World() { this->documents->ended.Close(); }
+
+  void Update(Topic topic, std::vector<KeyedRecord> records) {
+    log_service::TopicUpdate update;
+    update.topic = topic;
+    update.at = steady_clock::now();
+    update.is_complete = true;
+    update.end = LogOffset(7);
+    update.records = std::move(records);
+    REQUIRE(this->rings.topics.TryPush(std::move(update)));
+  }
+
+  /// Calls `during` at the end of a turn of the thread that takes `length` at
+  /// least, because it reads the entry of the upstream "slow".
+  void SlowTurn(milliseconds length, const std::function<void()>& during) {
+    this->Update(Topic::kUpstreams, {{"slow", "reader"}});
+    REQUIRE(this->documents->begun.PopUntil(steady_clock::now() + kPatience));
+    std::this_thread::sleep_for(length);
+    during();
+    REQUIRE(this->documents->ended.TryPush(true));
+  }
+
+  /// Waits for a grant to `to`. The log answers meanwhile, upstreams do not.
+  Taken<upstream::ControlCall> TakeGrant(const std::string& to) {
+    const MonotonicTime end = steady_clock::now() + kPatience;
+    while (steady_clock::now() < end) {
+      while (auto call = this->rings.store_calls.TryPop()) this->Answer(*call);
+      auto order = this->rings.to_upstream.PopUntil(steady_clock::now() +
+                                                    milliseconds(5));
+      if (!order) continue;
+      const MonotonicTime at = steady_clock::now();
+      const auto& call = std::get<upstream::ControlCall>(*order);
+      const bool is_grant =
+          std::holds_alternative<upstream::RangeGrantCall>(call.request);
+      if (is_grant && call.upstream == UpstreamId(to)) return {call, at};
+    }
+    FAIL("no grant to " << to);
+    return {};
+  }
+
+  /// Waits for a call to the log.
+  Taken<StoreCall> TakeStoreCall() {
+    auto call =
+        this->rings.store_calls.PopUntil(steady_clock::now() + kPatience);
+    REQUIRE(call);
+    return {std::move(*call), steady_clock::now()};
+  }
+
+  /// Answers a call to the log as if it had been made now.
+  void Answer(const StoreCall& call) {
+    StoreResult result;
+    result.sent = steady_clock::now();
+    if (const auto* read = std::get_if<ReadTopic>(&call.request)) {
+      result.topic = read->topic;
+      KeyedRecords all;
+      if (read->topic == Topic::kOwnership) {
+        all.end = this->log_end;
+        if (this->record) all.records.push_back({"owners", *this->record});
+      }
+      result.outcome = tl::expected<KeyedRecords, ReadFailure>(all);
+    } else {
+      const auto& append = std::get<KeyedAppend>(call.request);
+      result.topic = append.topic;
+      if (append.topic == Topic::kOwnership) {
+        this->record = append.record.value;
+        ++this->log_end.value;
+      }
+      result.outcome =
+          tl::expected<LogOffset, KeyedAppendFailure>(this->log_end);
+    }
+    REQUIRE(this->rings.store_results.TryPush(std::move(result)));
+  }
+
+  /// The upstream carries the grant out and answers.
+  void Accept(const upstream::ControlCall& grant) {
+    REQUIRE(this->rings.upstream_to_control.TryPush(
+        {grant.id, grant.upstream,
+         upstream::ControlAnswer(upstream::RangeGrantAnswer{}), 200}));
+  }
+
+  /// Ends the thread and returns `since_sent_ms` of the first line of `event`.
+  milliseconds SinceSent(const std::string& event) {
+    this->thread.Stop();
+    this->log.reset();
+    const std::string name = "\"since_sent_ms\":\"";
+    const std::string text = this->lines.str();
+    const auto line = text.find("\"event\":\"" + event + "\"");
+    REQUIRE(line != std::string::npos);
+    const auto field = text.find(name, line);
+    REQUIRE(field != std::string::npos);
+    return milliseconds(std::stoll(text.substr(field + name.size())));
+  }
+
+  std::shared_ptr<SlowDocuments> documents = std::make_shared<SlowDocuments>();
+  /// The newest record of ownership in the log, and the log's end.
+  std::optional<std::string> record;
+  LogOffset log_end{0};
+
+ private:
+  Metrics metrics;
+  GatewayRings rings;
+  std::ostringstream lines;
+  std::unique_ptr<EventLog> log = std::make_unique<EventLog>("test", lines);
+  OwnershipDuty duty{{DaemonId("d0"), DaemonInstance("i0"), {"10.0.0.9", 1}},
+                     {kLease, seconds(10)},
+                     documents,
+                     metrics,
+                     steady_clock::now()};
+
+ public:
+  OwnershipThread thread{duty, rings, *log, metrics};
+};
+
+SCENARIO("keys are given on too early after a slow turn") {
+  World world;
+  GIVEN("a grant of all keys on its way to an upstream") {
+    world.Update(Topic::kDesiredState, {{"state", "3"}});
+    world.Update(Topic::kUpstreams, {{"u0", "reader"}});
+    world.thread.Start();
+    const auto grant = world.TakeGrant("u0");
+
+    WHEN("it is answered in a slow turn, and the upstream is lost then") {
+      MonotonicTime carried_out;
+      // The turn reads a registry that has another upstream instead. The grant
+      // is answered within its limit of 400 ms.
+      world.SlowTurn(milliseconds(300), [&] {
+        carried_out = steady_clock::now();
+        world.Accept(grant.item);
+      });
+
+      THEN("another one is granted the keys after the lease has ended") {
+        const auto next = world.TakeGrant("slow");
+        CHECK(next.at - carried_out >=
+              upstream::EndOfLease(carried_out, kLease) - carried_out);
+        // The line has whole milliseconds.
+        CHECK(world.SinceSent("grant_answered") >=
+              std::chrono::floor<milliseconds>(carried_out - grant.at));
+      }
+    }
+  }
+}
+
+SCENARIO("a daemon claims the leadership while the leader has its mandate") {
+  World world;
+  GIVEN("a daemon that reads the record of a leader") {
+    upstream::OwnershipRecord record;
+    record.term = Term(4);
+    record.leader = DaemonId("d1");
+    world.record = upstream::EncodeOwnership(record);
+    world.log_end = LogOffset(9);
+    world.thread.Start();
+    const auto read = world.TakeStoreCall();
+    REQUIRE(std::holds_alternative<ReadTopic>(read.item.request));
+
+    WHEN("the record is appended and read in a slow turn") {
+      MonotonicTime appended;
+      world.SlowTurn(milliseconds(400), [&] {
+        appended = steady_clock::now();
+        world.Answer(read.item);
+      });
+
+      THEN("it claims after the wait that covers the mandate") {
+        auto call = world.TakeStoreCall();
+        const auto is_claim = [&call] {
+          const auto* append = std::get_if<KeyedAppend>(&call.item.request);
+          return append != nullptr && append->topic == Topic::kOwnership;
+        };
+        while (!is_claim() && call.at - appended < kPatience) {
+          world.Answer(call.item);
+          call = world.TakeStoreCall();
+        }
+        CHECK(is_claim());
+        CHECK(call.at - appended >= upstream::RangeLeadership::kTakeoverWait);
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace bamboorack::daemon
