core: chunk extensions and trailers of one body are bounded

The size of a chunked body was limited, that of its framing was not: a peer that sends an extension of 4 KB for each byte, or trailer lines without end, kept its connection until the deadline of the request. Only single lines had a limit, and only while their end had not come yet.

All extensions and trailers of one body together, and what a chunk's size line has beyond 16 bytes, are now at most 64 KiB; more is malformed.

--- a/include/bamboorack/core/http_body.h
+++ b/include/bamboorack/core/http_body.h
@@ -34,7 +34,7 @@
   enum class Status : std::uint8_t {
     kIncomplete,
     kComplete,
-    /// The framing is broken.
+    /// The framing is broken, or more of it comes than a body needs.
     kMalformed,
     /// More than `max_body` bytes.
     kTooLarge,
@@ -70,6 +70,8 @@
   std::string body;
   ChunkPart part = ChunkPart::kSizeLine;
   std::size_t chunk_left = 0;
+  /// Bytes of chunk extensions and trailers so far.
+  std::size_t ignored = 0;
 };
 
 }  // namespace bamboorack
--- a/lib/core/http_body.cc
+++ b/lib/core/http_body.cc
@@ -13,6 +13,11 @@
 
 // A chunk's size line with extensions, or a trailer line.
 constexpr std::size_t kMaxLine = 4'096;
+// Chunk extensions and trailers of one body together. Without this bound a
+// peer could send them without end below the limit of the body itself.
+constexpr std::size_t kMaxIgnored = 65'536;
+// The digits of the largest chunk size.
+constexpr std::size_t kSizeDigits = 16;
 constexpr std::string_view kLineEnd = "\r\n";
 
 std::optional<std::size_t> ParseChunkSize(std::string_view line) {
@@ -140,9 +145,12 @@
     return input.size() - position > kMaxLine ? Status::kMalformed
                                               : Status::kIncomplete;
   }
+  const std::size_t length = end - position;
   const auto size =
-      ParseChunkSize(std::string_view(input).substr(position, end - position));
+      ParseChunkSize(std::string_view(input).substr(position, length));
   if (!size) return Status::kMalformed;
+  this->ignored += length - std::min(length, kSizeDigits);
+  if (this->ignored > kMaxIgnored) return Status::kMalformed;
   if (*size > this->max_body - this->body.size()) return Status::kTooLarge;
   position = end + kLineEnd.size();
   this->chunk_left = *size;
@@ -168,6 +176,8 @@
                                               : Status::kIncomplete;
   }
   const bool is_last = end == position;
+  this->ignored += end - position;
+  if (this->ignored > kMaxIgnored) return Status::kMalformed;
   position = end + kLineEnd.size();
   return is_last ? Status::kComplete : Status::kIncomplete;
 }
--- a/unittests/core/http_body_test.cc
+++ b/unittests/core/http_body_test.cc
@@ -71,6 +71,44 @@
   }
 }
 
+TEST_CASE("the framing of a chunked body comes without end") {
+  BodyReader reader({BodyFraming::kChunked, 0}, std::size_t{1} << 20U);
+  std::string unit;
+  SECTION("as chunk extensions") {
+    unit = "1;" + std::string(4'000, 'a') + "\r\nx\r\n";
+  }
+  SECTION("as zeros and white space of chunk sizes") {
+    unit =
+        std::string(2'000, '0') + "1" + std::string(2'000, ' ') + "\r\nx\r\n";
+  }
+  SECTION("as trailers") {
+    std::string last = "0\r\n";
+    REQUIRE(reader.Feed(last) == Status::kIncomplete);
+    unit = "X-Own: a\r\n";
+  }
+  constexpr std::size_t kEnough = std::size_t{1} << 20U;
+  std::size_t sent = 0;
+  Status status = Status::kIncomplete;
+  while (status == Status::kIncomplete && sent < kEnough) {
+    std::string input = unit;
+    status = reader.Feed(input);
+    sent += unit.size();
+  }
+  CHECK(status == Status::kMalformed);
+}
+
+TEST_CASE("the framing of an ordinary body is taken for an endless one") {
+  // One byte in each chunk, and a short extension on some.
+  BodyReader reader({BodyFraming::kChunked, 0}, 200'000);
+  for (int i = 0; i < 200'000; ++i) {
+    std::string input = i % 100 == 0 ? "1;a=b\r\nx\r\n" : "1\r\nx\r\n";
+    REQUIRE(reader.Feed(input) == Status::kIncomplete);
+  }
+  std::string input = "0\r\nDigest: a\r\n\r\n";
+  CHECK(reader.Feed(input) == Status::kComplete);
+  CHECK(reader.Take().size() == 200'000);
+}
+
 TEST_CASE("two readers see two different bodies in one message") {
   const BodyFrame without{BodyFraming::kUntilClose, 0};
   CHECK(FrameOf({{"Content-Length", "5"}}, without)->length == 5);
