core: an answer without end cannot hold a call beyond its deadline

HttpClient left the reading to POCO's client, whose time-out starts anew with each byte. Its loops over a head, a chunk's size line and interim answers end only with the bytes that they look for, so a trickle held the call, and the thread that waits for the log, for as long as it lasted; a stop was not noticed either. A chunked answer that was cut short, or that went on with a size that is no number, was a success with the part that had come.

The client now reads and writes its own non-blocking connection: each turn waits for the socket until the deadline at most, heads are bounded by 32 KiB, interim answers by 16, and BodyReader finds the end of the body. Requests are encoded as before.

Now 13 kinds of endless answers, each as a trickle and as a flood, end as failures that may have run, and the connection closes.

--- a/include/bamboorack/core/http_client.h
+++ b/include/bamboorack/core/http_client.h
@@ -1,15 +1,16 @@
 #ifndef BAMBOORACK_CORE_HTTP_CLIENT_H_
 #define BAMBOORACK_CORE_HTTP_CLIENT_H_
 
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/PollSet.h>
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <stop_token>
 #include <string>
 #include <tl/expected.hpp>
 
+#include "bamboorack/core/http_connection.h"
 #include "bamboorack/core/ids.h"
 #include "bamboorack/core/poll_waker.h"
 #include "bamboorack/core/time.h"
@@ -38,12 +39,13 @@
 /// Calls one HTTP server over one persistent connection. For one thread.
 class HttpClient {
  public:
-  /// `connect_limit` bounds each attempt to connect.
-  HttpClient(const Endpoint& server, std::chrono::milliseconds connect_limit);
+  /// `limit` bounds each attempt to connect.
+  HttpClient(const Endpoint& endpoint, std::chrono::milliseconds limit);
 
-  /// Makes a call. Fails if there is no complete answer by `deadline`, or if
-  /// `stop` is requested while it waits for the answer. A failure closes the
-  /// connection, so that a late answer is never taken for the next one.
+  /// Makes a call. Fails if there is no complete answer by `deadline`, however
+  /// fast or slowly its bytes come, or if `stop` is requested, which is not
+  /// noticed while it connects. A failure closes the connection, so that a late
+  /// answer is never taken for the next one.
   tl::expected<HttpReply, HttpFailure> Call(const HttpCall& call,
                                             MonotonicTime deadline,
                                             const std::stop_token& stop);
@@ -51,11 +53,17 @@
  private:
   HttpReply Exchange(const HttpCall& call, MonotonicTime deadline,
                      const std::stop_token& stop, bool& was_sent);
-  void WaitForAnswer(MonotonicTime deadline, const std::stop_token& stop);
-  HttpReply Receive(MonotonicTime deadline);
+  /// Makes sure that there is a connection, a kept one if it is not too old.
+  void OpenConnection(MonotonicTime deadline);
+  /// Waits until the connection can be read or written, at most until
+  /// `deadline`.
+  void Wait(MonotonicTime deadline, const std::stop_token& stop);
 
-  std::chrono::milliseconds connect_limit;
-  Poco::Net::HTTPClientSession session;
+  const Endpoint server;
+  const std::chrono::milliseconds connect_limit;
+  std::optional<HttpConnection> connection;
+  /// Valid while there is a connection.
+  MonotonicTime reuse_before;
   Poco::Net::PollSet poll_set;
   PollWaker waker;
 };
--- a/lib/core/http_client.cc
+++ b/lib/core/http_client.cc
@@ -2,22 +2,33 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
 
 #include <algorithm>
-#include <array>
-#include <istream>
-#include <ostream>
+#include <memory>
+#include <sstream>
+#include <utility>
+
+#include "bamboorack/core/http_body.h"
+#include "bamboorack/core/http_text.h"
 
 namespace bamboorack {
 namespace {
 
+using Poco::Net::PollSet;
 using std::chrono::steady_clock;
+using IoStatus = HttpConnection::IoStatus;
 
 /// Above the largest answer in use, 128 log records with 64 KiB each.
 constexpr std::size_t kMaxReplyBytes = std::size_t{64} * 1024 * 1024;
-constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
+constexpr std::size_t kMaxHead = 32'768;
+constexpr std::size_t kReadBytes = std::size_t{256} * 1024;
+constexpr int kMaxInterimAnswers = 16;
+// Servers close an unused connection after some time, and a call on it then
+// fails as one that may have run. This is the limit that POCO's client uses.
+constexpr std::chrono::seconds kReuseLimit{8};
 
 /// Rounds up to milliseconds: POCO takes 0 for no limit and polls with that
 /// resolution, so that rounding down would spin through the last one.
@@ -33,14 +44,123 @@
   return deadline - now;
 }
 
+HttpBytes Encode(const HttpCall& call, const Endpoint& server) {
+  Poco::Net::HTTPRequest request(call.method, call.target,
+                                 Poco::Net::HTTPMessage::HTTP_1_1);
+  request.setHost(server.host, server.port);
+  request.setContentLength64(static_cast<Poco::Int64>(call.body.size()));
+  std::ostringstream head;
+  request.write(head);
+  return {head.str(), std::make_shared<const std::string>(call.body)};
+}
+
+/// Collects one answer from the bytes of a connection. Throws if they are no
+/// answer.
+class AnswerReader {
+ public:
+  /// Takes the bytes of the answer from the front of `input`. Returns whether
+  /// the answer is complete.
+  bool Feed(std::string& input) {
+    while (!this->has_head) {
+      if (!this->TakeHead(input)) return false;
+    }
+    const BodyReader::Status status = this->body.Feed(input);
+    if (status == BodyReader::Status::kIncomplete) return false;
+    Check(status);
+    return true;
+  }
+
+  /// Tells that the server closed its sending direction.
+  void FeedEnd() {
+    if (!this->has_head) {
+      throw Poco::DataFormatException("no answer before the connection ended");
+    }
+    Check(this->body.FeedEnd());
+    this->keeps_connection = false;
+  }
+
+  /// Returns the complete answer. Valid once.
+  HttpReply Take() { return {this->status_code, this->body.Take()}; }
+  bool KeepsConnection() const { return this->keeps_connection; }
+
+ private:
+  static void Check(BodyReader::Status status) {
+    if (status == BodyReader::Status::kTooLarge) {
+      throw Poco::DataFormatException("the answer is too large");
+    }
+    if (status != BodyReader::Status::kComplete) {
+      throw Poco::DataFormatException("the answer is malformed or cut short");
+    }
+  }
+
+  /// Returns false if the head is not complete.
+  bool TakeHead(std::string& input) {
+    const auto length = FindHeadEnd(input);
+    if (length.value_or(input.size()) > kMaxHead) {
+      throw Poco::DataFormatException("the head of the answer is too large");
+    }
+    if (!length) return false;
+    const auto head =
+        ParseResponseHead(std::string_view(input).substr(0, *length));
+    if (!head) throw Poco::DataFormatException(head.error());
+    input.erase(0, *length);
+    this->status_code = head->getStatus();
+    if (this->status_code < 200) {
+      if (++this->interim_answers > kMaxInterimAnswers) {
+        throw Poco::DataFormatException("too many interim answers");
+      }
+      return true;
+    }
+    this->TakeFraming(*head);
+    return true;
+  }
+
+  void TakeFraming(const Poco::Net::HTTPResponse& head) {
+    this->has_head = true;
+    this->keeps_connection = head.getKeepAlive();
+    const bool has_no_body =
+        this->status_code == Poco::Net::HTTPResponse::HTTP_NO_CONTENT ||
+        this->status_code == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
+    BodyFrame frame;
+    if (!has_no_body) {
+      const auto announced =
+          FrameOf(HeadersOf(head), {BodyFraming::kUntilClose, 0});
+      if (!announced) throw Poco::DataFormatException(announced.error());
+      frame = *announced;
+    }
+    this->body = BodyReader(frame, kMaxReplyBytes);
+  }
+
+  bool has_head = false;
+  bool keeps_connection = false;
+  int status_code = 0;
+  int interim_answers = 0;
+  BodyReader body;
+};
+
+/// Watches a socket as long as it lives.
+class Watch {
+ public:
+  Watch(PollSet& set, const Poco::Net::StreamSocket& watched)
+      : poll_set(set), socket(watched) {
+    this->poll_set.add(this->socket, PollSet::POLL_READ);
+  }
+  ~Watch() { this->poll_set.remove(this->socket); }
+  Watch(const Watch&) = delete;
+  Watch& operator=(const Watch&) = delete;
+
+  void SetModes(int modes) { this->poll_set.update(this->socket, modes); }
+
+ private:
+  PollSet& poll_set;
+  const Poco::Net::StreamSocket socket;
+};
+
 }  // namespace
 
-HttpClient::HttpClient(const Endpoint& server, std::chrono::milliseconds limit)
-    : connect_limit(limit),
-      session(server.host, server.port),
-      waker(this->poll_set) {
-  this->session.setKeepAlive(true);
-}
+HttpClient::HttpClient(const Endpoint& endpoint,
+                       std::chrono::milliseconds limit)
+    : server(endpoint), connect_limit(limit), waker(this->poll_set) {}
 
 tl::expected<HttpReply, HttpFailure> HttpClient::Call(
     const HttpCall& call, MonotonicTime deadline, const std::stop_token& stop) {
@@ -54,70 +174,66 @@
     failure.detail = error.what();
   }
   failure.may_have_run = was_sent;
-  this->session.reset();
+  this->connection.reset();
   return tl::make_unexpected(std::move(failure));
 }
 
 HttpReply HttpClient::Exchange(const HttpCall& call, MonotonicTime deadline,
                                const std::stop_token& stop, bool& was_sent) {
   if (stop.stop_requested()) throw Poco::Exception("the call was stopped");
-  const Poco::Timespan left = ToTimespan(TimeLeft(deadline));
-  const Poco::Timespan connect =
-      std::min(left, ToTimespan(this->connect_limit));
-  this->session.setTimeout(connect, left, left);
-  if (this->session.connected()) {
-    this->session.socket().setSendTimeout(left);
-    this->session.socket().setReceiveTimeout(left);
-  }
-  Poco::Net::HTTPRequest request(call.method, call.target,
-                                 Poco::Net::HTTPMessage::HTTP_1_1);
-  request.setContentLength64(static_cast<Poco::Int64>(call.body.size()));
-  std::ostream& out = this->session.sendRequest(request);
-  was_sent = true;
-  out << call.body << std::flush;
-  this->WaitForAnswer(deadline, stop);
-  return this->Receive(deadline);
-}
-
-void HttpClient::WaitForAnswer(MonotonicTime deadline,
-                               const std::stop_token& stop) {
+  this->OpenConnection(deadline);
+  HttpConnection& http = *this->connection;
   const std::stop_callback wake(stop, [this] { this->waker.Wake(); });
-  const Poco::Net::StreamSocket socket = this->session.socket();
-  this->poll_set.add(socket, Poco::Net::PollSet::POLL_READ);
-  bool is_ready = false;
-  while (!is_ready && !stop.stop_requested() &&
-         steady_clock::now() < deadline) {
-    for (const auto& [ready, mode] :
-         this->poll_set.poll(ToTimespan(deadline - steady_clock::now()))) {
-      if (!this->waker.Consume(ready)) is_ready = true;
+  Watch watch(this->poll_set, http.Socket());
+  http.Queue(Encode(call, this->server));
+  AnswerReader answer;
+  bool is_complete = false;
+  while (!is_complete) {
+    // The kernel may take a part before the connection breaks.
+    const std::uint64_t before = http.BytesWritten();
+    const IoStatus sent = http.Write();
+    was_sent = was_sent || http.BytesWritten() > before;
+    if (sent != IoStatus::kOk) throw Poco::IOException("connection lost");
+    watch.SetModes(PollSet::POLL_READ |
+                   (http.HasOutput() ? PollSet::POLL_WRITE : 0));
+    this->Wait(deadline, stop);
+    const IoStatus received = http.Read(kReadBytes);
+    if (received == IoStatus::kFailed) {
+      throw Poco::IOException("connection lost");
+    }
+    is_complete = answer.Feed(http.Input());
+    if (!is_complete && received == IoStatus::kClosed) {
+      answer.FeedEnd();
+      is_complete = true;
     }
   }
-  this->poll_set.remove(socket);
-  if (stop.stop_requested()) throw Poco::Exception("the call was stopped");
-  if (!is_ready) throw Poco::TimeoutException("no answer in time");
+  // A server may answer before it has read the whole request.
+  if (!answer.KeepsConnection() || http.HasOutput()) this->connection.reset();
+  this->reuse_before = steady_clock::now() + kReuseLimit;
+  return answer.Take();
 }
 
-HttpReply HttpClient::Receive(MonotonicTime deadline) {
-  Poco::Net::HTTPResponse response;
-  std::istream& in = this->session.receiveResponse(response);
-  HttpReply reply{response.getStatus(), {}};
-  std::array<char, kReadBytes> buffer{};
-  // One read of the socket at a time, so that an answer that trickles in is
-  // held to the deadline.
-  while (in.peek() != std::istream::traits_type::eof()) {
-    const std::streamsize count = in.readsome(buffer.data(), buffer.size());
-    reply.body.append(buffer.data(), static_cast<std::size_t>(count));
-    if (reply.body.size() > kMaxReplyBytes) {
-      throw Poco::DataFormatException("the answer is too large");
+void HttpClient::OpenConnection(MonotonicTime deadline) {
+  const std::chrono::nanoseconds left = TimeLeft(deadline);
+  if (this->connection && steady_clock::now() < this->reuse_before) return;
+  this->connection.reset();
+  Poco::Net::StreamSocket socket;
+  socket.connect(Poco::Net::SocketAddress(this->server.host, this->server.port),
+                 ToTimespan(std::min<std::chrono::nanoseconds>(
+                     left, this->connect_limit)));
+  this->connection.emplace(socket);
+}
+
+void HttpClient::Wait(MonotonicTime deadline, const std::stop_token& stop) {
+  while (true) {
+    if (stop.stop_requested()) throw Poco::Exception("the call was stopped");
+    bool is_ready = false;
+    for (const auto& [ready, mode] :
+         this->poll_set.poll(ToTimespan(TimeLeft(deadline)))) {
+      if (!this->waker.Consume(ready)) is_ready = true;
     }
-    TimeLeft(deadline);
-  }
-  if (response.hasContentLength() &&
-      static_cast<Poco::Int64>(reply.body.size()) !=
-          response.getContentLength64()) {
-    throw Poco::DataFormatException("the answer is cut short");
+    if (is_ready) return;
   }
-  return reply;
 }
 
 }  // namespace bamboorack
--- /dev/null
+++ b/unittests/support/endless_sender.h
@@ -0,0 +1,119 @@
+#ifndef BAMBOORACK_UNITTESTS_SUPPORT_ENDLESS_SENDER_H_
+#define BAMBOORACK_UNITTESTS_SUPPORT_ENDLESS_SENDER_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <stop_token>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "support/raw_peer.h"
+
+namespace bamboorack::testing {
+
+/// Bytes without an end.
+struct EndlessBytes {
+  std::string first;
+  /// Repeated after `first`.
+  std::string unit;
+  /// Before each unit; 0 sends as fast as the peer reads.
+  std::chrono::milliseconds pause{0};
+};
+
+/// Bytes that begin like an answer and never become one.
+struct EndlessAnswer {
+  const char* title;
+  EndlessBytes bytes;
+  /// Whether the bytes are those of a body, which is kept up to its limit.
+  bool is_body = false;
+};
+
+inline std::vector<EndlessAnswer> EndlessAnswers() {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  return {
+      {"a line that does not end", {"", "a"}},
+      {"empty lines before the head", {"", "\r\n"}},
+      {"a header that does not end", {ok + "X-Own: ", " "}},
+      {"headers", {ok, "X-Own: a\r\n"}},
+      {"interim answers", {"", "HTTP/1.1 100 Continue\r\n\r\n"}},
+      {"a body that is too long",
+       {ok + "Content-Length: 99999999999\r\n\r\n", "a"},
+       true},
+      {"a body without a length", {ok + "\r\n", "a"}, true},
+      {"chunks", {chunked, "1\r\nx\r\n"}, true},
+      {"a chunk size that does not end", {chunked, "0"}},
+      {"a chunk extension that does not end", {chunked + "1;", "a"}},
+      {"chunk extensions",
+       {chunked, "1;" + std::string(4'000, 'a') + "\r\nx\r\n"}},
+      {"a trailer that does not end", {chunked + "0\r\n", "a"}},
+      {"trailers", {chunked + "0\r\n", "X-Own: a\r\n"}},
+  };
+}
+
+/// The same bytes, slowly.
+inline EndlessBytes Trickle(EndlessBytes bytes) {
+  bytes.pause = std::chrono::milliseconds(20);
+  return bytes;
+}
+
+/// What the kernel may hold of one connection on loopback, with a margin.
+inline constexpr std::size_t kSocketBuffers = std::size_t{32} << 20U;
+
+/// Sends endless bytes from a thread of its own until the peer closes the
+/// connection or this object ends.
+class EndlessSender {
+ public:
+  EndlessSender(RawPeer raw_peer, EndlessBytes endless)
+      : peer(std::move(raw_peer)),
+        bytes(std::move(endless)),
+        thread([this](const std::stop_token& stop) { this->Run(stop); }) {}
+
+  /// Returns whether the peer closes the connection within the bound of all
+  /// waits.
+  bool IsClosedByPeer() const {
+    const MonotonicTime end = Soon();
+    while (!this->is_closed && std::chrono::steady_clock::now() < end) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return this->is_closed;
+  }
+
+  /// What the kernel has taken.
+  std::size_t BytesSent() const { return this->sent; }
+
+ private:
+  void Run(const std::stop_token& stop) {
+    const bool is_fast = this->bytes.pause == std::chrono::milliseconds(0);
+    std::string piece = this->bytes.unit;
+    while (is_fast && piece.size() < kFastPiece) piece += this->bytes.unit;
+    bool is_open = this->Send(this->bytes.first);
+    while (is_open && !stop.stop_requested()) {
+      if (!is_fast) std::this_thread::sleep_for(this->bytes.pause);
+      is_open = this->Send(piece);
+    }
+    this->is_closed = !is_open;
+  }
+
+  bool Send(const std::string& piece) {
+    if (!this->peer.TrySend(piece)) return false;
+    this->sent += piece.size();
+    return true;
+  }
+
+  static constexpr std::size_t kFastPiece = 65'536;
+
+  RawPeer peer;
+  const EndlessBytes bytes;
+  std::atomic<bool> is_closed = false;
+  std::atomic<std::size_t> sent = 0;
+  /// Last, because it uses the other members.
+  std::jthread thread;
+};
+
+}  // namespace bamboorack::testing
+
+#endif  // BAMBOORACK_UNITTESTS_SUPPORT_ENDLESS_SENDER_H_
--- a/unittests/support/raw_peer.h
+++ b/unittests/support/raw_peer.h
@@ -6,6 +6,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -45,6 +46,21 @@
     }
   }
 
+  /// Returns false if the peer has ended the connection or takes nothing for
+  /// 10 s.
+  bool TrySend(std::string_view bytes) {
+    try {
+      while (!bytes.empty()) {
+        const int sent = this->socket.sendBytes(
+            bytes.data(), static_cast<int>(bytes.size()), MSG_NOSIGNAL);
+        bytes.remove_prefix(static_cast<std::size_t>(sent));
+      }
+      return true;
+    } catch (const Poco::Exception&) {
+      return false;
+    }
+  }
+
   void SendByteByByte(std::string_view bytes) {
     for (const char& byte : bytes) this->socket.sendBytes(&byte, 1);
   }
