core: a call's kept connection is checked before it is used again

Bytes that a server sends after an answer, with it or while no call is under way, were taken as the answer to the next call: an append could be reported with the offset of another one. A connection that the server had closed meanwhile made the next call fail as one that may have run.

Before a kept connection is used it is read; if it has bytes or has ended, the call gets a new connection.

--- a/include/bamboorack/core/http_client.h
+++ b/include/bamboorack/core/http_client.h
@@ -53,8 +53,11 @@
  private:
   HttpReply Exchange(const HttpCall& call, MonotonicTime deadline,
                      const std::stop_token& stop, bool& was_sent);
-  /// Makes sure that there is a connection, a kept one if it is not too old.
+  /// Makes sure that there is a connection, the kept one if possible.
   void OpenConnection(MonotonicTime deadline);
+  /// Returns false if the kept connection is too old, or if the server has
+  /// closed it or sent something since the last answer.
+  bool IsReusable();
   /// Waits until the connection can be read or written, at most until
   /// `deadline`.
   void Wait(MonotonicTime deadline, const std::stop_token& stop);
--- a/lib/core/http_client.cc
+++ b/lib/core/http_client.cc
@@ -215,7 +215,7 @@
 
 void HttpClient::OpenConnection(MonotonicTime deadline) {
   const std::chrono::nanoseconds left = TimeLeft(deadline);
-  if (this->connection && steady_clock::now() < this->reuse_before) return;
+  if (this->connection && this->IsReusable()) return;
   this->connection.reset();
   Poco::Net::StreamSocket socket;
   socket.connect(Poco::Net::SocketAddress(this->server.host, this->server.port),
@@ -224,6 +224,13 @@
   this->connection.emplace(socket);
 }
 
+bool HttpClient::IsReusable() {
+  // Bytes that come without a call would be taken for its answer.
+  return steady_clock::now() < this->reuse_before &&
+         this->connection->Read(1) == IoStatus::kOk &&
+         this->connection->Input().empty();
+}
+
 void HttpClient::Wait(MonotonicTime deadline, const std::stop_token& stop) {
   while (true) {
     if (stop.stop_requested()) throw Poco::Exception("the call was stopped");
--- a/unittests/core/http_client_test.cc
+++ b/unittests/core/http_client_test.cc
@@ -168,6 +168,46 @@
   ExpectFailure(call);
 }
 
+SCENARIO("bytes that belong to no call become the answer to the next one") {
+  Fixture fixture;
+  const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+  const std::string late = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate";
+  auto call = fixture.Call(Soon());
+  RawPeer peer = fixture.Accept();
+  std::unique_ptr<EndlessSender> sender;
+  SECTION("with the answer") { peer.Send(whole + late); }
+  SECTION("after the answer") {
+    peer.Send(whole);
+    call.wait();
+    peer.Send(late);
+  }
+  SECTION("without end") {
+    sender = std::make_unique<EndlessSender>(peer, EndlessBytes{whole, late});
+  }
+  CHECK(call.get()->body == "first");
+  auto next = fixture.Call(Soon());
+  RawPeer second = fixture.Accept();
+  second.Send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext");
+  const Reply reply = next.get();
+  REQUIRE(reply.has_value());
+  CHECK(reply->body == "next");
+}
+
+SCENARIO("a connection that was closed while unused fails the next call") {
+  Fixture fixture;
+  auto call = fixture.Call(Soon());
+  RawPeer peer = fixture.Accept();
+  peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst");
+  CHECK(call.get()->body == "first");
+  peer.Close();
+  auto next = fixture.Call(Soon());
+  RawPeer second = fixture.Accept();
+  second.Send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext");
+  const Reply reply = next.get();
+  REQUIRE(reply.has_value());
+  CHECK(reply->body == "next");
+}
+
 SCENARIO("an answer of a server that keeps to HTTP is refused") {
   Fixture fixture;
   auto call = fixture.Call(Soon());
