upstream: interim answers without end end the exchange

Any number of interim answers (1xx) was taken until the deadline. One read of 256 KiB holds ten thousand of them, and each was removed from the front of the input, so one upstream that sends them without end kept the thread busy at the cost of all others. More than 16 in one exchange are now a bad answer.

--- a/include/bamboorack/upstream/upstream_reactor.h
+++ b/include/bamboorack/upstream/upstream_reactor.h
@@ -58,6 +58,8 @@
     std::unique_ptr<Exchange> exchange;
     /// Bytes written before the exchange began.
     std::uint64_t written_before = 0;
+    /// Of the present exchange.
+    int interim_answers = 0;
     std::optional<AnswerHead> answer;
     /// Valid while `answer` is set.
     BodyReader body;
--- a/lib/upstream/upstream_reactor.cc
+++ b/lib/upstream/upstream_reactor.cc
@@ -19,6 +19,10 @@
 using IoStatus = HttpConnection::IoStatus;
 
 constexpr std::size_t kMaxAnswerHead = 32'768;
+// An upstream in trouble may send interim answers without end. One read holds
+// thousands of them, and taking each from the front of the input delayed the
+// requests to other upstreams by 34 ms.
+constexpr int kMaxInterimAnswers = 16;
 constexpr int kMessagesPerTurn = 1024;
 // Rings do not tell when they have room again.
 constexpr milliseconds kOutboxRetry{5};
@@ -304,6 +308,7 @@
     return;
   }
   connection.written_before = connection.http.BytesWritten();
+  connection.interim_answers = 0;
   connection.http.Queue(std::move(request));
   const IoStatus status = connection.http.Write();
   connection.phase = Phase::kExchanging;
@@ -451,7 +456,11 @@
     return false;
   }
   input.erase(0, *length);
-  if (IsInterim(head->status)) return true;
+  if (IsInterim(head->status)) {
+    if (++connection.interim_answers <= kMaxInterimAnswers) return true;
+    this->FailExchange(connection, Failure::kBadAnswer, "upstream_bad_answers");
+    return false;
+  }
   connection.body = BodyReader({head->framing, head->body_length},
                                this->settings.max_answer_body);
   connection.answer = std::move(*head);
--- /dev/null
+++ b/unittests/upstream/upstream_endless_test.cc
@@ -0,0 +1,223 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstddef>
+#include <ctime>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "support/endless_sender.h"
+#include "support/raw_peer.h"
+#include "upstream/upstream_fixture.h"
+
+namespace bamboorack::upstream {
+namespace {
+
+using bamboorack::testing::EndlessAnswer;
+using bamboorack::testing::EndlessAnswers;
+using bamboorack::testing::EndlessBytes;
+using bamboorack::testing::EndlessSender;
+using bamboorack::testing::kSocketBuffers;
+using bamboorack::testing::Trickle;
+using std::chrono::steady_clock;
+
+/// The product's own protocol, with answers of any framing.
+class AnyLengthProtocol : public UpstreamProtocol {
+ public:
+  HttpBytes EncodeDispatch(const Dispatch& dispatch,
+                           MonotonicTime now) const override {
+    return this->native->EncodeDispatch(dispatch, now);
+  }
+  HttpBytes EncodeControl(const ControlRequest& request,
+                          const Endpoint& endpoint) const override {
+    return this->native->EncodeControl(request, endpoint);
+  }
+  std::optional<HttpBytes> EncodeCancel(
+      const RequestId& request, const Endpoint& endpoint) const override {
+    return this->native->EncodeCancel(request, endpoint);
+  }
+  bool AllowsUnknownLength() const override { return true; }
+  bool IsAnswerTo(const AnswerHead& head,
+                  const RequestId& request) const override {
+    return this->native->IsAnswerTo(head, request);
+  }
+  Result DecodeDispatchAnswer(const Dispatch& dispatch, AnswerHead head,
+                              Body body) const override {
+    return this->native->DecodeDispatchAnswer(dispatch, std::move(head),
+                                              std::move(body));
+  }
+  tl::expected<ControlAnswer, ControlError> DecodeControlAnswer(
+      const ControlRequest& request, const AnswerHead& head,
+      const std::string& body) const override {
+    return this->native->DecodeControlAnswer(request, head, body);
+  }
+
+ private:
+  const std::shared_ptr<const UpstreamProtocol> native = MakeNativeProtocol();
+};
+
+UpstreamThreadSettings AnyLengthSettings() {
+  UpstreamThreadSettings settings;
+  settings.max_answer_body = std::size_t{1} << 20U;
+  settings.protocol = std::make_shared<const AnyLengthProtocol>();
+  return settings;
+}
+
+/// An upstream thread and an upstream that sends bytes without end.
+struct EndlessFixture {
+  explicit EndlessFixture(const char* name)
+      : title(name), fixture(AnyLengthSettings()) {}
+
+  void Send(const EndlessBytes& bytes) {
+    RawPeer upstream = this->fixture.Accept();
+    upstream.ReadMessage();
+    this->sender = std::make_unique<EndlessSender>(upstream, bytes);
+  }
+
+  const char* title;
+  Fixture fixture;
+  std::unique_ptr<EndlessSender> sender;
+};
+
+/// Starts the exchange that `push` makes with one upstream for each kind of
+/// endless answer, all at the same time.
+template <typename Push>
+std::vector<std::unique_ptr<EndlessFixture>> StartTrickles(Push push) {
+  std::vector<std::unique_ptr<EndlessFixture>> all;
+  for (const EndlessAnswer& answer : EndlessAnswers()) {
+    CAPTURE(answer.title);
+    all.push_back(std::make_unique<EndlessFixture>(answer.title));
+    push(all.back()->fixture);
+    all.back()->Send(Trickle(answer.bytes));
+  }
+  return all;
+}
+
+SCENARIO("an answer without end holds a request, memory or the thread") {
+  GIVEN("a trickle") {
+    // Long enough for a loaded machine to send the request.
+    constexpr milliseconds kPatience{3'000};
+    const MonotonicTime begun = steady_clock::now();
+    const std::clock_t cpu_before = std::clock();
+    WHEN("requests wait for it") {
+      const auto all = StartTrickles([&](Fixture& fixture) {
+        Dispatch dispatch = fixture.MakeDispatch(1, "body");
+        dispatch.request.deadline = steady_clock::now() + kPatience;
+        fixture.Push(std::move(dispatch));
+      });
+      THEN("they end by their deadline as unknown, and nothing spins") {
+        for (const auto& one : all) {
+          CAPTURE(one->title);
+          const auto result = one->fixture.NextResult();
+          REQUIRE_FALSE(result.result.has_value());
+          CHECK(result.result.error().ending == Ending::kUnknown);
+          CHECK(one->sender->IsClosedByPeer());
+        }
+        const std::chrono::duration<double> wall = steady_clock::now() - begun;
+        const double cpu =
+            static_cast<double>(std::clock() - cpu_before) / CLOCKS_PER_SEC;
+        CHECK(cpu < wall.count() / 2);
+      }
+    }
+    WHEN("orders wait for it") {
+      const auto all = StartTrickles([&](Fixture& fixture) {
+        ControlCall call = fixture.MakeCall(
+            1, RangeGrantCall{UpstreamId("u"), {}, FencingToken(1), {}, {}});
+        call.deadline = steady_clock::now() + kPatience;
+        fixture.Push(call);
+      });
+      THEN("they end by their deadline as ones that may be carried out") {
+        for (const auto& one : all) {
+          CAPTURE(one->title);
+          const auto result = one->fixture.to_control.PopUntil(Soon());
+          REQUIRE(result.has_value());
+          REQUIRE_FALSE(result->answer.has_value());
+          CHECK(result->answer.error() != ControlError::kNotSent);
+          CHECK(one->sender->IsClosedByPeer());
+        }
+      }
+    }
+  }
+  for (const EndlessAnswer& answer : EndlessAnswers()) {
+    GIVEN("a flood of " + std::string(answer.title)) {
+      EndlessFixture flood(answer.title);
+      WHEN("a request waits for its answer") {
+        Dispatch dispatch = flood.fixture.MakeDispatch(1, "body");
+        // Later than the bound of all waits, so that it does not end this.
+        dispatch.request.deadline += std::chrono::seconds(60);
+        flood.fixture.Push(std::move(dispatch));
+        flood.Send(answer.bytes);
+        THEN("it ends long before its deadline") {
+          const auto result = flood.fixture.NextResult();
+          REQUIRE_FALSE(result.result.has_value());
+          CHECK(result.result.error().ending == Ending::kUnknown);
+          CHECK(result.result.error().reason == Reason::kUpstreamBadAnswer);
+          CHECK(flood.sender->IsClosedByPeer());
+          CHECK(flood.sender->BytesSent() < kSocketBuffers);
+        }
+      }
+      WHEN("an order waits for its answer") {
+        ControlCall call = flood.fixture.MakeCall(
+            1, RangeGrantCall{UpstreamId("u"), {}, FencingToken(1), {}, {}});
+        call.deadline += std::chrono::seconds(60);
+        flood.fixture.Push(call);
+        flood.Send(answer.bytes);
+        THEN("it ends as one that may be carried out") {
+          const auto result = flood.fixture.to_control.PopUntil(Soon());
+          REQUIRE(result.has_value());
+          REQUIRE_FALSE(result->answer.has_value());
+          CHECK(result->answer.error() == ControlError::kBadAnswer);
+          CHECK(flood.sender->IsClosedByPeer());
+        }
+      }
+    }
+  }
+}
+
+SCENARIO("an upstream that sends without end delays the others") {
+  for (const EndlessAnswer& answer : EndlessAnswers()) {
+    GIVEN(answer.title) {
+      UpstreamThreadSettings settings = AnyLengthSettings();
+      settings.max_answer_body = std::size_t{64} << 20U;
+      Fixture fixture(settings);
+      fixture.Push(fixture.MakeDispatch(1));
+      RawPeer flooded = fixture.Accept();
+      flooded.ReadMessage();
+      fixture.Push(fixture.MakeDispatch(2));
+      RawPeer other = fixture.Accept();
+      const EndlessSender sender(flooded, answer.bytes);
+      for (std::uint64_t id = 2; id < 12; ++id) {
+        if (id > 2) fixture.Push(fixture.MakeDispatch(id));
+        other.ReadMessage();
+        other.Send(Ok("answer"));
+        auto result = fixture.NextResult();
+        if (result.id == DispatchId(1)) result = fixture.NextResult();
+        CHECK(result.id == DispatchId(id));
+        CHECK(result.result.has_value());
+      }
+    }
+  }
+}
+
+SCENARIO("bytes that belong to no request become the next answer") {
+  Fixture fixture;
+  fixture.Push(fixture.MakeDispatch(1));
+  RawPeer upstream = fixture.Accept();
+  upstream.ReadMessage();
+  // Whole answers, so that any of them would do for the next request.
+  const auto flood = GENERATE_COPY(values<EndlessBytes>(
+      {{Ok("answer"), Ok("late")}, Trickle({Ok("answer"), Ok("late")})}));
+  const EndlessSender sender(upstream, flood);
+  CHECK(*fixture.NextResult().result->body == "answer");
+  CHECK(sender.IsClosedByPeer());
+  fixture.Push(fixture.MakeDispatch(2));
+  RawPeer second = fixture.Accept();
+  second.ReadMessage();
+  second.Send(Ok("second"));
+  CHECK(*fixture.NextResult().result->body == "second");
+}
+
+}  // namespace
+}  // namespace bamboorack::upstream
