--- a/unittests/log_service/log_client_test.cc
+++ b/unittests/log_service/log_client_test.cc
@@ -1,5 +1,9 @@
 #include "bamboorack/log_service/log_client.h"
 
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Timespan.h>
+
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <future>
@@ -10,6 +14,8 @@
 
 #include "bamboorack/log_service/log_protocol_codec.h"
 #include "log_service/test_log.h"
+#include "support/endless_sender.h"
+#include "support/raw_peer.h"
 
 namespace bamboorack::log_service {
 namespace {
@@ -180,6 +186,51 @@
   }
 }
 
+SCENARIO("a log whose answers have no end holds its callers or answers them") {
+  for (const auto& answer : testing::EndlessAnswers()) {
+    GIVEN(answer.title) {
+      Poco::Net::ServerSocket listener;
+      listener.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
+      listener.listen(1);
+      Metrics metrics;
+      LogClient client({"127.0.0.1", listener.address().port()}, metrics);
+      const auto accept = [&listener] {
+        REQUIRE(listener.poll(Poco::Timespan(10, 0),
+                              Poco::Net::Socket::SELECT_READ));
+        testing::RawPeer peer(listener.acceptConnection());
+        peer.ReadMessage();
+        return peer;
+      };
+      const MonotonicTime deadline = steady_clock::now() + seconds(3);
+      WHEN("a record is appended") {
+        auto append = std::async(std::launch::async, [&] {
+          return client.Append(NamedRecord("a"), deadline, {});
+        });
+        const testing::EndlessSender sender(accept(), answer.bytes);
+        THEN("it may have taken effect") {
+          REQUIRE(append.wait_for(seconds(8)) == std::future_status::ready);
+          const auto result = append.get();
+          REQUIRE_FALSE(result.has_value());
+          CHECK(result.error().fault == AppendFault::kUnknown);
+          CHECK(sender.IsClosedByPeer());
+        }
+      }
+      WHEN("records are read") {
+        auto read = std::async(std::launch::async, [&] {
+          return client.Read({LogOffset(1), 100, milliseconds(0)}, deadline,
+                             {});
+        });
+        const testing::EndlessSender sender(accept(), answer.bytes);
+        THEN("the read fails") {
+          REQUIRE(read.wait_for(seconds(8)) == std::future_status::ready);
+          CHECK_FALSE(read.get().has_value());
+          CHECK(sender.IsClosedByPeer());
+        }
+      }
+    }
+  }
+}
+
 SCENARIO("a log that breaks its protocol moves a reader back") {
   const std::string record = R"({"offset":7,"time_ms":1,"body":"{}"})";
   const std::vector<std::pair<std::string, std::string>> cases = {
