--- a/include/bamboorack/core/http_text.h
+++ b/include/bamboorack/core/http_text.h
@@ -19,6 +19,13 @@
 /// Returns a shared body without bytes.
 Body EmptyBody();
 
+/// Returns the first line of an answer, with its line end.
+std::string StatusLine(int status);
+
+/// Whether an answer with this status has neither a body nor a Content-Length
+/// (RFC 9110).
+bool HasNoBody(int status);
+
 /// Appends one header line to `head`.
 void AppendHeader(std::string& head, std::string_view name,
                   std::string_view value);
--- a/lib/caller/caller_codec.cc
+++ b/lib/caller/caller_codec.cc
@@ -1,7 +1,6 @@
 #include "bamboorack/caller/caller_codec.h"
 
 #include <Poco/JSON/Object.h>
-#include <Poco/Net/HTTPResponse.h>
 
 #include <algorithm>
 #include <memory>
@@ -23,22 +22,8 @@
          IsSameHeaderName(name, kReasonHeader);
 }
 
-// RFC 9110 forbids a body and a Content-Length for these.
-bool HasNoBody(int status) {
-  return status < 200 || status == 204 || status == 304;
-}
-
-std::string ReasonPhrase(int status) {
-  using Poco::Net::HTTPResponse;
-  // POCO's enumeration has no value above 511.
-  if (status < 100 || status > 511) return "Unknown";
-  return HTTPResponse::getReasonForStatus(
-      static_cast<HTTPResponse::HTTPStatus>(status));
-}
-
 std::string StartHead(int status, Ending ending) {
-  std::string head = "HTTP/1.1 " + std::to_string(status) + ' ' +
-                     ReasonPhrase(status) + "\r\n";
+  std::string head = StatusLine(status);
   AppendHeader(head, kOutcomeHeader, NameOf(ending));
   return head;
 }
--- a/lib/core/http_text.cc
+++ b/lib/core/http_text.cc
@@ -1,5 +1,7 @@
 #include "bamboorack/core/http_text.h"
 
+#include <Poco/Net/HTTPResponse.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -42,6 +44,21 @@
   return empty;
 }
 
+std::string StatusLine(int status) {
+  using Poco::Net::HTTPResponse;
+  // POCO's enumeration has no value above 511.
+  const bool is_known = status >= 100 && status <= 511;
+  const std::string phrase =
+      is_known ? HTTPResponse::getReasonForStatus(
+                     static_cast<HTTPResponse::HTTPStatus>(status))
+               : "Unknown";
+  return "HTTP/1.1 " + std::to_string(status) + ' ' + phrase + "\r\n";
+}
+
+bool HasNoBody(int status) {
+  return status < 200 || status == 204 || status == 304;
+}
+
 void AppendHeader(std::string& head, std::string_view name,
                   std::string_view value) {
   head.append(name).append(": ").append(value).append("\r\n");
--- a/lib/upstream/upstream_codec.cc
+++ b/lib/upstream/upstream_codec.cc
@@ -16,6 +16,7 @@
 #include <variant>
 
 #include "bamboorack/core/http_connection.h"
+#include "bamboorack/core/http_text.h"
 #include "bamboorack/upstream/upstream_protocol.h"
 
 namespace bamboorack::upstream {
@@ -297,10 +298,6 @@
   return static_cast<int>(*status);
 }
 
-bool HasNoBody(int status) {
-  return status < 200 || status == 204 || status == 304;
-}
-
 /// Reads all but the framing.
 tl::expected<AnswerHead, std::string> ParseAnswerHead(std::string_view head) {
   const auto parsed = ParseResponseHead(head);
