core, daemon: one loop for threads that run turns, NFC

Cause: start, stop, wake-up and the wait between turns stood in the routing, gateway routing and control threads, and the bounded reading of a ring stood twice.

Change: DutyLoop runs the turns, which return when the next one is due; HandleSome hands on at most 64 items of a ring. The times between turns are as before. The one difference: a thread whose next turn is already due no longer enters the wait, so a notification that came meanwhile stays and brings one more turn. The ownership thread keeps its own loop, since its reading of the clock is being changed.

Tests are new: a wake-up during a turn or a wait, a due time without a wake-up, a stop, a thread that spins, and the bound of HandleSome.

Measured: the commit builds (release).

--- a/include/bamboorack/daemon/control_thread.h
+++ b/include/bamboorack/daemon/control_thread.h
@@ -2,9 +2,9 @@
 #define BAMBOORACK_DAEMON_CONTROL_THREAD_H_
 
 #include <atomic>
-#include <thread>
 
-#include "bamboorack/core/wakeup.h"
+#include "bamboorack/core/duty_loop.h"
+#include "bamboorack/core/time.h"
 #include "bamboorack/daemon/control_duty.h"
 
 namespace bamboorack::daemon {
@@ -13,28 +13,23 @@
 class ControlThread {
  public:
   ControlThread(ControlDuty& control_duty, Rings& rings);
-  ~ControlThread();
-  ControlThread(const ControlThread&) = delete;
-  ControlThread& operator=(const ControlThread&) = delete;
 
-  void Start();
+  void Start() { this->loop.Start(); }
   /// Begins to hand every group over.
   void BeginStop();
   bool IsHandedOver() const { return this->is_handed_over; }
   /// Returns whether an operator asked for a planned stop.
   bool IsStopRequested() const { return this->is_stop_requested; }
-  void Stop();
+  void Stop() { this->loop.Stop(); }
 
  private:
-  void Run();
+  MonotonicTime Turn(MonotonicTime now);
 
   ControlDuty& duty;
-  Wakeup wakeup;
   std::atomic<bool> must_begin_stop = false;
   std::atomic<bool> is_handed_over = false;
   std::atomic<bool> is_stop_requested = false;
-  std::atomic<bool> is_stopping = false;
-  std::thread thread;
+  DutyLoop loop;
 };
 
 }  // namespace bamboorack::daemon
--- a/include/bamboorack/daemon/gateway_router_thread.h
+++ b/include/bamboorack/daemon/gateway_router_thread.h
@@ -2,12 +2,11 @@
 #define BAMBOORACK_DAEMON_GATEWAY_ROUTER_THREAD_H_
 
 #include <atomic>
-#include <thread>
 
+#include "bamboorack/core/duty_loop.h"
 #include "bamboorack/core/event_log.h"
 #include "bamboorack/core/metrics.h"
 #include "bamboorack/core/time.h"
-#include "bamboorack/core/wakeup.h"
 #include "bamboorack/daemon/gateway_rings.h"
 #include "bamboorack/daemon/gateway_router.h"
 
@@ -21,12 +20,9 @@
   GatewayRouterThread(const GatewayRouter::Identity& identity,
                       GatewayRings& all_rings, EventLog& event_log,
                       Metrics& registry);
-  ~GatewayRouterThread();
-  GatewayRouterThread(const GatewayRouterThread&) = delete;
-  GatewayRouterThread& operator=(const GatewayRouterThread&) = delete;
 
-  void Start();
-  void Stop();
+  void Start() { this->loop.Start(); }
+  void Stop() { this->loop.Stop(); }
   /// Refuses requests that arrive from now on. Does not wait.
   void BeginStop() { this->must_begin_stop = true; }
   /// Returns whether no request is held.
@@ -36,10 +32,10 @@
   using ActionHandler = void (GatewayRouterThread::*)(GatewayAction&,
                                                       MonotonicTime);
 
-  void Run();
+  MonotonicTime Turn(MonotonicTime now);
   bool HandleInputs(MonotonicTime now);
   template <typename Message, typename Handler>
-  bool HandleSome(BoundedRing<Message>& ring, Handler handle,
+  bool HandleFrom(BoundedRing<Message>& ring, Handler handle,
                   MonotonicTime now);
   void CarryOut(GatewayActions&& actions, MonotonicTime now);
 
@@ -53,11 +49,9 @@
   EventLog& log;
   Metrics& metrics;
   GatewayRouter router;
-  Wakeup wakeup;
   std::atomic<bool> must_begin_stop{false};
-  std::atomic<bool> is_stopping{false};
   std::atomic<bool> is_idle{true};
-  std::thread thread;
+  DutyLoop loop;
 };
 
 }  // namespace bamboorack::daemon
--- a/include/bamboorack/daemon/routing_thread.h
+++ b/include/bamboorack/daemon/routing_thread.h
@@ -2,11 +2,10 @@
 #define BAMBOORACK_DAEMON_ROUTING_THREAD_H_
 
 #include <atomic>
-#include <thread>
 
+#include "bamboorack/core/duty_loop.h"
 #include "bamboorack/core/metrics.h"
 #include "bamboorack/core/time.h"
-#include "bamboorack/core/wakeup.h"
 #include "bamboorack/daemon/rings.h"
 #include "bamboorack/daemon/router.h"
 
@@ -17,24 +16,21 @@
 class RoutingThread {
  public:
   RoutingThread(const DaemonId& self, Rings& all_rings, Metrics& registry);
-  ~RoutingThread();
-  RoutingThread(const RoutingThread&) = delete;
-  RoutingThread& operator=(const RoutingThread&) = delete;
 
-  void Start();
+  void Start() { this->loop.Start(); }
   /// Returns whether no request is held.
   bool IsIdle() const { return this->is_idle; }
-  void Stop();
+  void Stop() { this->loop.Stop(); }
 
  private:
   using ActionHandler = void (RoutingThread::*)(RouterAction&, MonotonicTime);
 
-  void Run();
+  MonotonicTime Turn(MonotonicTime now);
   /// Handles what waits in all rings. Returns false if there was nothing.
   bool HandleInputs(MonotonicTime now);
   /// Lets the router handle a bounded number of the messages in `ring`.
   template <typename Message>
-  bool HandleSome(BoundedRing<Message>& ring,
+  bool HandleFrom(BoundedRing<Message>& ring,
                   RouterActions (Router::*handle)(Message, MonotonicTime),
                   MonotonicTime now);
   void CarryOut(RouterActions&& actions, MonotonicTime now);
@@ -50,10 +46,8 @@
   Rings& rings;
   Metrics& metrics;
   Router router;
-  Wakeup wakeup;
-  std::atomic<bool> is_stopping = false;
   std::atomic<bool> is_idle = true;
-  std::thread thread;
+  DutyLoop loop;
 };
 
 }  // namespace bamboorack::daemon
--- a/lib/daemon/gateway_router_thread.cc
+++ b/lib/daemon/gateway_router_thread.cc
@@ -9,12 +9,9 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 // Bounds the wait, so that a stop is noticed.
 constexpr milliseconds kLongestWait{200};
-// Items taken from one ring before the next ring gets its turn.
-constexpr int kItemsPerTurn = 64;
 
 }  // namespace
 
@@ -24,8 +21,9 @@
     : rings(all_rings),
       log(event_log),
       metrics(registry),
-      router(identity, registry) {
-  const auto notify = [this] { this->wakeup.Notify(); };
+      router(identity, registry),
+      loop([this](MonotonicTime now) { return this->Turn(now); }) {
+  const auto notify = [this] { this->loop.Notify(); };
   this->rings.caller_to_routing.SetWaker(notify);
   this->rings.upstream_to_routing.SetWaker(notify);
   this->rings.tables.SetWaker(notify);
@@ -33,52 +31,31 @@
   // and are never urgent while requests pass.
 }
 
-GatewayRouterThread::~GatewayRouterThread() { this->Stop(); }
-
-void GatewayRouterThread::Start() {
-  this->thread = std::thread([this] { this->Run(); });
-}
-
-void GatewayRouterThread::Stop() {
-  this->is_stopping = true;
-  this->wakeup.Notify();
-  if (this->thread.joinable()) this->thread.join();
-}
-
-void GatewayRouterThread::Run() {
-  while (!this->is_stopping) {
-    const MonotonicTime now = steady_clock::now();
-    if (this->must_begin_stop.exchange(false)) this->router.BeginStop();
-    const bool had_input = this->HandleInputs(now);
-    this->CarryOut(this->router.Tick(now), now);
-    this->is_idle = this->router.IsIdle();
-    if (had_input) continue;
-    this->wakeup.WaitUntil(
-        std::min(this->router.NextWakeup(), now + kLongestWait));
-  }
+MonotonicTime GatewayRouterThread::Turn(MonotonicTime now) {
+  if (this->must_begin_stop.exchange(false)) this->router.BeginStop();
+  const bool had_input = this->HandleInputs(now);
+  this->CarryOut(this->router.Tick(now), now);
+  this->is_idle = this->router.IsIdle();
+  if (had_input) return now;
+  return std::min(this->router.NextWakeup(), now + kLongestWait);
 }
 
 template <typename Message, typename Handler>
-bool GatewayRouterThread::HandleSome(BoundedRing<Message>& ring, Handler handle,
+bool GatewayRouterThread::HandleFrom(BoundedRing<Message>& ring, Handler handle,
                                      MonotonicTime now) {
-  bool had_input = false;
-  for (int i = 0; i < kItemsPerTurn; ++i) {
-    auto message = ring.TryPop();
-    if (!message) break;
-    this->CarryOut((this->router.*handle)(std::move(*message), now), now);
-    had_input = true;
-  }
-  return had_input;
+  return HandleSome(ring, [&](Message&& message) {
+    this->CarryOut((this->router.*handle)(std::move(message), now), now);
+  });
 }
 
 bool GatewayRouterThread::HandleInputs(MonotonicTime now) {
   bool had_input =
-      this->HandleSome(this->rings.tables, &GatewayRouter::OnTables, now);
-  had_input |= this->HandleSome(this->rings.gossip_to_routing,
+      this->HandleFrom(this->rings.tables, &GatewayRouter::OnTables, now);
+  had_input |= this->HandleFrom(this->rings.gossip_to_routing,
                                 &GatewayRouter::OnPeer, now);
-  had_input |= this->HandleSome(this->rings.upstream_to_routing,
+  had_input |= this->HandleFrom(this->rings.upstream_to_routing,
                                 &GatewayRouter::OnUpstream, now);
-  had_input |= this->HandleSome(this->rings.caller_to_routing,
+  had_input |= this->HandleFrom(this->rings.caller_to_routing,
                                 &GatewayRouter::OnCaller, now);
   return had_input;
 }
--- a/lib/daemon/routing_thread.cc
+++ b/lib/daemon/routing_thread.cc
@@ -10,58 +10,38 @@
 
 // Bounds the wait, so that a stop or a lost wake-up is noticed.
 constexpr std::chrono::milliseconds kLongestWait{100};
-// Items taken from one ring before the next ring gets its turn.
-constexpr int kItemsPerTurn = 64;
 
 }  // namespace
 
 RoutingThread::RoutingThread(const DaemonId& self, Rings& all_rings,
                              Metrics& registry)
-    : rings(all_rings), metrics(registry), router(self, registry) {
-  const auto notify = [this] { this->wakeup.Notify(); };
+    : rings(all_rings),
+      metrics(registry),
+      router(self, registry),
+      loop([this](MonotonicTime now) { return this->Turn(now); }) {
+  const auto notify = [this] { this->loop.Notify(); };
   this->rings.caller_to_routing.SetWaker(notify);
   this->rings.peer_to_routing.SetWaker(notify);
   this->rings.upstream_to_routing.SetWaker(notify);
   this->rings.tables.SetWaker(notify);
 }
 
-RoutingThread::~RoutingThread() { this->Stop(); }
-
-void RoutingThread::Start() {
-  this->thread = std::thread([this] { this->Run(); });
-}
-
-void RoutingThread::Stop() {
-  this->is_stopping = true;
-  this->wakeup.Notify();
-  if (this->thread.joinable()) this->thread.join();
-}
-
-void RoutingThread::Run() {
-  while (!this->is_stopping) {
-    const MonotonicTime now = std::chrono::steady_clock::now();
-    const bool had_input = this->HandleInputs(now);
-    this->CarryOut(this->router.Tick(now), now);
-    this->is_idle = this->router.IsIdle();
-    if (had_input) continue;
-    this->wakeup.WaitUntil(
-        std::min(this->router.NextWakeup(), now + kLongestWait));
-  }
+MonotonicTime RoutingThread::Turn(MonotonicTime now) {
+  const bool had_input = this->HandleInputs(now);
+  this->CarryOut(this->router.Tick(now), now);
+  this->is_idle = this->router.IsIdle();
+  if (had_input) return now;
+  return std::min(this->router.NextWakeup(), now + kLongestWait);
 }
 
 template <typename Message>
-bool RoutingThread::HandleSome(BoundedRing<Message>& ring,
+bool RoutingThread::HandleFrom(BoundedRing<Message>& ring,
                                RouterActions (Router::*handle)(Message,
                                                                MonotonicTime),
                                MonotonicTime now) {
-  bool had_input = false;
-  for (int i = 0; i < kItemsPerTurn; ++i) {
-    auto message = ring.TryPop();
-    if (!message) break;
-    this->CarryOut((this->router.*handle)(std::move(*message), now), now);
-    had_input = true;
-  }
-  return had_input;
+  return HandleSome(ring, [&](Message&& message) {
+    this->CarryOut((this->router.*handle)(std::move(message), now), now);
+  });
 }
 
 bool RoutingThread::HandleInputs(MonotonicTime now) {
@@ -71,12 +51,12 @@
     this->CarryOut(this->router.OnTable(std::move(*table), now), now);
     had_input = true;
   }
-  had_input |= this->HandleSome(this->rings.upstream_to_routing,
+  had_input |= this->HandleFrom(this->rings.upstream_to_routing,
                                 &Router::OnUpstream, now);
   had_input |=
-      this->HandleSome(this->rings.peer_to_routing, &Router::OnPeer, now);
+      this->HandleFrom(this->rings.peer_to_routing, &Router::OnPeer, now);
   had_input |=
-      this->HandleSome(this->rings.caller_to_routing, &Router::OnCaller, now);
+      this->HandleFrom(this->rings.caller_to_routing, &Router::OnCaller, now);
   return had_input;
 }
 
