tools: share the servers of stand-ins and the handling of signals, NFC

Cause: a factory of handlers stood in five stand-ins, a forwarding handler in three, the start of a server on loopback in two, and the blocking of and waiting for signals in four places.

Change: HandlerFactory, ForwardingHandler and ServeOnLoopback in fakes/common/http_fake.h, BlockSignals and WaitForSignal in common/signals.h. The signals, waits, ports and numbers of threads are as before.

The programs were not started by hand.

--- a/tools/bamboorackd/main.cc
+++ b/tools/bamboorackd/main.cc
@@ -10,23 +10,17 @@
 
 #include "bamboorack/daemon/daemon.h"
 #include "bamboorack/operator/settings.h"
+#include "common/signals.h"
 
 namespace {
 
+using bamboorack::tools::WaitForSignal;
 using std::chrono::steady_clock;
 
 // Uploads may be slow; longer ones are cut off by a planned stop.
 constexpr std::chrono::seconds kStopLimit{60};
 constexpr std::chrono::milliseconds kPollInterval{50};
 
-/// Returns whether SIGTERM or SIGINT arrived within `kPollInterval`.
-bool WaitForSignal(const sigset_t& signals) {
-  const timespec limit{
-      0, std::chrono::duration_cast<std::chrono::nanoseconds>(kPollInterval)
-             .count()};
-  return ::sigtimedwait(&signals, nullptr, &limit) > 0;
-}
-
 int Serve(const bamboorack::operators::Settings& settings,
           const sigset_t& signals) {
   bamboorack::daemon::Daemon daemon(settings);
@@ -35,13 +29,14 @@
     return 1;
   }
   LOG(INFO) << "event=started daemon=" << settings.daemon_id;
-  while (!WaitForSignal(signals) && !daemon.IsStopRequested()) {
+  while (WaitForSignal(signals, kPollInterval) == 0 &&
+         !daemon.IsStopRequested()) {
   }
   const auto deadline = steady_clock::now() + kStopLimit;
   daemon.BeginStop();
   // A second signal ends the wait for requests in flight.
   while (!daemon.IsStopped() && steady_clock::now() < deadline) {
-    if (WaitForSignal(signals)) break;
+    if (WaitForSignal(signals, kPollInterval) != 0) break;
   }
   daemon.Stop(deadline);
   LOG(INFO) << "event=stopped daemon=" << settings.daemon_id;
@@ -76,12 +71,7 @@
     std::cerr << bamboorack::operators::ToText(settings.error());
     return 2;
   }
-  // Blocked before the first thread starts, so that only main receives them.
-  sigset_t signals;
-  ::sigemptyset(&signals);
-  ::sigaddset(&signals, SIGTERM);
-  ::sigaddset(&signals, SIGINT);
-  ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  const sigset_t signals = bamboorack::tools::BlockSignals({SIGTERM, SIGINT});
   std::signal(SIGPIPE, SIG_IGN);
   return Serve(*settings, signals);
 }
--- a/tools/fakes/common/http_fake.h
+++ b/tools/fakes/common/http_fake.h
@@ -1,38 +1,77 @@
 #ifndef BAMBOORACK_TOOLS_FAKES_COMMON_HTTP_FAKE_H_
 #define BAMBOORACK_TOOLS_FAKES_COMMON_HTTP_FAKE_H_
 
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/StreamCopier.h>
+#include <Poco/ThreadPool.h>
 
-#include <csignal>
 #include <cstdint>
 #include <iostream>
+#include <memory>
 #include <ostream>
 #include <string>
+#include <tuple>
 
 namespace bamboorack::fakes {
 
-/// Leaves SIGTERM and SIGINT to `WaitForStopSignal`. Call before any thread
-/// starts.
-inline void BlockStopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-}
+/// Makes a `Handler` of references to `Parts` for each request.
+template <typename Handler, typename... Parts>
+class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
+ public:
+  /// `all` must outlive the server.
+  explicit HandlerFactory(Parts&... all) : parts(all...) {}
+
+  Poco::Net::HTTPRequestHandler* createRequestHandler(
+      const Poco::Net::HTTPServerRequest& /*request*/) override {
+    return std::apply([](auto&... part) { return new Handler(part...); },
+                      this->parts);
+  }
+
+ private:
+  std::tuple<Parts&...> parts;
+};
+
+/// Passes each request to the method `Handle` of a stand-in.
+template <typename Fake>
+class ForwardingHandler : public Poco::Net::HTTPRequestHandler {
+ public:
+  explicit ForwardingHandler(Fake& stand_in) : fake(stand_in) {}
+  void handleRequest(Poco::Net::HTTPServerRequest& request,
+                     Poco::Net::HTTPServerResponse& response) override {
+    this->fake.Handle(request, response);
+  }
+
+ private:
+  Fake& fake;
+};
 
-/// Blocks until SIGTERM or SIGINT arrives.
-inline void WaitForStopSignal() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  int signal = 0;
-  sigwait(&signals, &signal);
+/// Starts a server of up to `threads` connections on loopback that passes all
+/// requests to `fake`. The servers of one kind of stand-in share their threads.
+template <int threads, typename Fake>
+std::unique_ptr<Poco::Net::HTTPServer> ServeOnLoopback(Fake& fake,
+                                                       std::uint16_t port) {
+  // Without SO_REUSEPORT, so that two stand-ins cannot share a port.
+  Poco::Net::ServerSocket socket;
+  socket.bind(Poco::Net::SocketAddress("127.0.0.1", port), true, false);
+  socket.listen(threads);
+  Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+  params->setMaxThreads(threads);
+  params->setMaxQueued(threads);
+  static Poco::ThreadPool pool(4, threads);
+  auto server = std::make_unique<Poco::Net::HTTPServer>(
+      new HandlerFactory<ForwardingHandler<Fake>, Fake>(fake), pool, socket,
+      params);
+  server->start();
+  return server;
 }
 
 /// Tells the starter which port was chosen.
--- a/tools/fakes/log_service/fake_log.cc
+++ b/tools/fakes/log_service/fake_log.cc
@@ -5,7 +5,6 @@
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 #include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/NumberParser.h>
@@ -144,21 +143,6 @@
     Call{"GET", "/records", &Handler::Read},
     Call{"POST", "/fault", &Handler::SetFault}};
 
-class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
- public:
-  HandlerFactory(LogStore& records, FaultPlan& plan)
-      : store(records), faults(plan) {}
-
-  Poco::Net::HTTPRequestHandler* createRequestHandler(
-      const HTTPServerRequest& /*request*/) override {
-    return new Handler(this->store, this->faults);
-  }
-
- private:
-  LogStore& store;
-  FaultPlan& faults;
-};
-
 }  // namespace
 
 FakeLog::FakeLog(std::uint16_t port, std::size_t retention)
@@ -169,8 +153,9 @@
   const Poco::Net::ServerSocket socket(
       Poco::Net::SocketAddress("127.0.0.1", port));
   this->server = std::make_unique<Poco::Net::HTTPServer>(
-      new HandlerFactory(this->store, this->faults), this->threads, socket,
-      params);
+      new HandlerFactory<Handler, LogStore, FaultPlan>(this->store,
+                                                       this->faults),
+      this->threads, socket, params);
   this->server->start();
 }
 
--- a/tools/fakes/log_service/main.cc
+++ b/tools/fakes/log_service/main.cc
@@ -2,6 +2,7 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "common/signals.h"
 #include "fakes/common/http_fake.h"
 #include "fakes/log_service/fake_log.h"
 
@@ -13,9 +14,9 @@
   app.add_option("--retention-records", retention, "records that are kept")
       ->check(CLI::PositiveNumber);
   CLI11_PARSE(app, argc, argv);
-  bamboorack::fakes::BlockStopSignals();
+  const sigset_t signals = bamboorack::tools::BlockSignals({SIGTERM, SIGINT});
   const bamboorack::fakes::FakeLog log(port, retention);
   bamboorack::fakes::PrintPort(log.Port());
-  bamboorack::fakes::WaitForStopSignal();
+  bamboorack::tools::WaitForSignal(signals);
   return 0;
 }
--- a/tools/fakes/platform_store/platform_store.cc
+++ b/tools/fakes/platform_store/platform_store.cc
@@ -3,14 +3,8 @@
 #include <Poco/Base64Encoder.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/SocketAddress.h>
 #include <Poco/URI.h>
 
 #include <algorithm>
@@ -40,30 +34,6 @@
     std::pair{"silent", StoreFault::kSilent},
     std::pair{"lost-answers", StoreFault::kLostAnswers}};
 
-class Handler : public Poco::Net::HTTPRequestHandler {
- public:
-  explicit Handler(PlatformStore& fake_store) : store(fake_store) {}
-  void handleRequest(HTTPServerRequest& request,
-                     HTTPServerResponse& response) override {
-    this->store.Handle(request, response);
-  }
-
- private:
-  PlatformStore& store;
-};
-
-class Factory : public Poco::Net::HTTPRequestHandlerFactory {
- public:
-  explicit Factory(PlatformStore& fake_store) : store(fake_store) {}
-  Poco::Net::HTTPRequestHandler* createRequestHandler(
-      const HTTPServerRequest& /*request*/) override {
-    return new Handler(this->store);
-  }
-
- private:
-  PlatformStore& store;
-};
-
 std::string Get(const std::map<std::string, std::string>& query,
                 const std::string& name) {
   const auto found = query.find(name);
@@ -153,16 +123,7 @@
 PlatformStore::~PlatformStore() { this->Stop(); }
 
 void PlatformStore::Start(std::uint16_t port) {
-  Poco::Net::ServerSocket socket;
-  socket.bind(Poco::Net::SocketAddress("127.0.0.1", port), true, false);
-  socket.listen(kThreads);
-  Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
-  params->setMaxThreads(kThreads);
-  params->setMaxQueued(kThreads);
-  static Poco::ThreadPool pool(4, kThreads);
-  this->server = std::make_unique<Poco::Net::HTTPServer>(new Factory(*this),
-                                                         pool, socket, params);
-  this->server->start();
+  this->server = ServeOnLoopback<kThreads>(*this, port);
 }
 
 void PlatformStore::Stop() {
--- a/tools/fakes/platform_upstream/main.cc
+++ b/tools/fakes/platform_upstream/main.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 #include <utility>
 
+#include "common/signals.h"
 #include "fakes/common/http_fake.h"
 #include "fakes/platform_upstream/platform_upstream.h"
 
@@ -24,11 +25,11 @@
   app.add_flag("--sharded", settings.is_sharded);
   CLI11_PARSE(app, argc, argv);
   settings.work = std::chrono::milliseconds(work_ms);
-  bamboorack::fakes::BlockStopSignals();
+  const sigset_t signals = bamboorack::tools::BlockSignals({SIGTERM, SIGINT});
   bamboorack::fakes::PlatformUpstream upstream(std::move(settings), std::cout);
   upstream.Start(port);
   bamboorack::fakes::PrintPort(upstream.Port());
-  bamboorack::fakes::WaitForStopSignal();
+  bamboorack::tools::WaitForSignal(signals);
   upstream.Stop();
   return 0;
 }
--- a/tools/fakes/platform_upstream/platform_upstream.cc
+++ b/tools/fakes/platform_upstream/platform_upstream.cc
@@ -3,14 +3,8 @@
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/SocketAddress.h>
 
 #include <algorithm>
 #include <sstream>
@@ -32,30 +26,6 @@
 constexpr milliseconds kStoreLimit{1'000};
 constexpr int kThreads = 48;
 
-class Handler : public Poco::Net::HTTPRequestHandler {
- public:
-  explicit Handler(PlatformUpstream& fake) : upstream(fake) {}
-  void handleRequest(HTTPServerRequest& request,
-                     HTTPServerResponse& response) override {
-    this->upstream.Handle(request, response);
-  }
-
- private:
-  PlatformUpstream& upstream;
-};
-
-class Factory : public Poco::Net::HTTPRequestHandlerFactory {
- public:
-  explicit Factory(PlatformUpstream& fake) : upstream(fake) {}
-  Poco::Net::HTTPRequestHandler* createRequestHandler(
-      const HTTPServerRequest& /*request*/) override {
-    return new Handler(this->upstream);
-  }
-
- private:
-  PlatformUpstream& upstream;
-};
-
 std::string Nanoseconds(steady_clock::time_point time) {
   return std::to_string(time.time_since_epoch().count());
 }
@@ -82,16 +52,7 @@
 PlatformUpstream::~PlatformUpstream() { this->Stop(); }
 
 void PlatformUpstream::Start(std::uint16_t port) {
-  Poco::Net::ServerSocket socket;
-  socket.bind(Poco::Net::SocketAddress("127.0.0.1", port), true, false);
-  socket.listen(kThreads);
-  Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
-  params->setMaxThreads(kThreads);
-  params->setMaxQueued(kThreads);
-  static Poco::ThreadPool pool(4, kThreads);
-  this->server = std::make_unique<Poco::Net::HTTPServer>(new Factory(*this),
-                                                         pool, socket, params);
-  this->server->start();
+  this->server = ServeOnLoopback<kThreads>(*this, port);
   this->beat_thread =
       std::jthread([this](const std::stop_token& stop) { this->Beat(stop); });
 }
--- a/tools/fakes/upstream/main.cc
+++ b/tools/fakes/upstream/main.cc
@@ -5,7 +5,6 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/ThreadPool.h>
 #include <Poco/Timespan.h>
-#include <signal.h>
 
 #include <CLI/CLI.hpp>
 #include <chrono>
@@ -16,6 +15,7 @@
 #include <sstream>
 #include <string>
 
+#include "common/signals.h"
 #include "upstream_server.h"
 
 namespace bamboorack::fakes {
@@ -57,17 +57,8 @@
                  "Whether requests are refused once the lease has expired");
 }
 
-sigset_t BlockStopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  return signals;
-}
-
 void Serve(const Options& options) {
-  const sigset_t stop_signals = BlockStopSignals();
+  const sigset_t stop_signals = tools::BlockSignals({SIGTERM, SIGINT});
   UpstreamServer upstream(options.upstream);
   Poco::ThreadPool threads(4, kMaxThreads);
   // Without SO_REUSEPORT, so that two upstreams cannot share a port.
@@ -84,8 +75,7 @@
                                socket, params);
   server.start();
   std::cout << "listening port=" << socket.address().port() << std::endl;
-  int signal = 0;
-  sigwait(&stop_signals, &signal);
+  tools::WaitForSignal(stop_signals);
   upstream.Stop();
   server.stopAll(true);
 }
--- a/tools/fakes/upstream/upstream_server.cc
+++ b/tools/fakes/upstream/upstream_server.cc
@@ -3,7 +3,6 @@
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/StreamCopier.h>
 
 #include <algorithm>
@@ -73,18 +72,6 @@
   return order;
 }
 
-class Handler : public Poco::Net::HTTPRequestHandler {
- public:
-  explicit Handler(UpstreamServer& upstream) : server(upstream) {}
-  void handleRequest(Poco::Net::HTTPServerRequest& request,
-                     Poco::Net::HTTPServerResponse& response) override {
-    this->server.Handle(request, response);
-  }
-
- private:
-  UpstreamServer& server;
-};
-
 }  // namespace
 
 const std::map<std::string, UpstreamServer::Control, std::less<>>
@@ -331,9 +318,4 @@
   return {200, TextOf(json), {}};
 }
 
-Poco::Net::HTTPRequestHandler* UpstreamHandlerFactory::createRequestHandler(
-    const Poco::Net::HTTPServerRequest& /*request*/) {
-  return new Handler(this->server);
-}
-
 }  // namespace bamboorack::fakes
--- a/tools/fakes/upstream/upstream_server.h
+++ b/tools/fakes/upstream/upstream_server.h
@@ -2,7 +2,6 @@
 #define BAMBOORACK_TOOLS_FAKES_UPSTREAM_UPSTREAM_SERVER_H_
 
 #include <Poco/JSON/Object.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 
@@ -18,6 +17,7 @@
 #include <string_view>
 
 #include "bamboorack/core/time.h"
+#include "fakes/common/http_fake.h"
 #include "ownership.h"
 
 namespace bamboorack::fakes {
@@ -98,16 +98,8 @@
 };
 
 /// Makes handlers that pass each request to an `UpstreamServer`.
-class UpstreamHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
- public:
-  explicit UpstreamHandlerFactory(UpstreamServer& upstream)
-      : server(upstream) {}
-  Poco::Net::HTTPRequestHandler* createRequestHandler(
-      const Poco::Net::HTTPServerRequest& request) override;
-
- private:
-  UpstreamServer& server;
-};
+using UpstreamHandlerFactory =
+    HandlerFactory<ForwardingHandler<UpstreamServer>, UpstreamServer>;
 
 }  // namespace bamboorack::fakes
 
--- a/tools/fakes/vm_list/fake_vm_list.cc
+++ b/tools/fakes/vm_list/fake_vm_list.cc
@@ -2,7 +2,6 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/ServerSocket.h>
 
@@ -63,19 +62,6 @@
 constexpr std::array<Handler::Call, 2> Handler::kCalls = {
     Call{"GET", &Handler::Get}, Call{"POST", &Handler::Replace}};
 
-class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
- public:
-  explicit HandlerFactory(ListSource& list) : source(list) {}
-
-  Poco::Net::HTTPRequestHandler* createRequestHandler(
-      const HTTPServerRequest& /*request*/) override {
-    return new Handler(this->source);
-  }
-
- private:
-  ListSource& source;
-};
-
 }  // namespace
 
 ListSource::ListSource(std::filesystem::path path) : file(std::move(path)) {
@@ -113,7 +99,8 @@
   const Poco::Net::ServerSocket socket(
       Poco::Net::SocketAddress("127.0.0.1", port));
   this->server = std::make_unique<Poco::Net::HTTPServer>(
-      new HandlerFactory(this->source), this->threads, socket, params);
+      new HandlerFactory<Handler, ListSource>(this->source), this->threads,
+      socket, params);
   this->server->start();
 }
 
--- a/tools/fakes/vm_list/main.cc
+++ b/tools/fakes/vm_list/main.cc
@@ -2,6 +2,7 @@
 #include <cstdint>
 #include <string>
 
+#include "common/signals.h"
 #include "fakes/common/http_fake.h"
 #include "fakes/vm_list/fake_vm_list.h"
 
@@ -13,9 +14,9 @@
   app.add_option("--file", file, "JSON file with the list, read on change")
       ->check(CLI::ExistingFile);
   CLI11_PARSE(app, argc, argv);
-  bamboorack::fakes::BlockStopSignals();
+  const sigset_t signals = bamboorack::tools::BlockSignals({SIGTERM, SIGINT});
   const bamboorack::fakes::FakeVmList list(port, file);
   bamboorack::fakes::PrintPort(list.Port());
-  bamboorack::fakes::WaitForStopSignal();
+  bamboorack::tools::WaitForSignal(signals);
   return 0;
 }
--- a/tools/gateway/main.cc
+++ b/tools/gateway/main.cc
@@ -12,6 +12,7 @@
 #include "bamboorack/daemon/gateway.h"
 #include "bamboorack/operator/gateway_settings.h"
 #include "bamboorack/operator/settings.h"
+#include "common/signals.h"
 #include "platform/caller_protocol.h"
 #include "platform/documents.h"
 #include "platform/names.h"
@@ -27,8 +28,8 @@
 using bamboorack::daemon::Gateway;
 using bamboorack::daemon::GatewayAdapter;
 using bamboorack::operators::GatewaySettings;
+using bamboorack::tools::WaitForSignal;
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 using std::chrono::steady_clock;
 
 // The load balancer takes a daemon out after two misses, one second apart.
@@ -37,15 +38,7 @@
 // Left between the last answer and the kill.
 constexpr milliseconds kExitMargin{600};
 constexpr milliseconds kPollInterval{100};
-
-/// Returns the signal that arrived within `wait`, or 0.
-int WaitForSignal(const sigset_t& signals, seconds wait, milliseconds part) {
-  const timespec limit{
-      wait.count(),
-      std::chrono::duration_cast<std::chrono::nanoseconds>(part).count()};
-  const int signal = ::sigtimedwait(&signals, nullptr, &limit);
-  return signal > 0 ? signal : 0;
-}
+constexpr milliseconds kLongestWait{60'000};
 
 GatewayAdapter MakeAdapter(const GatewaySettings& settings) {
   using namespace bamboorack::platform;
@@ -55,7 +48,7 @@
 
 void WaitForStop(const sigset_t& signals, EventLog& log) {
   while (true) {
-    const int signal = WaitForSignal(signals, seconds(60), milliseconds(0));
+    const int signal = WaitForSignal(signals, kLongestWait);
     if (signal == SIGHUP) {
       // Every setting is read at the start only.
       log.Line(EventKind::kProcess, "settings_kept").Text("cause", "SIGHUP");
@@ -73,11 +66,11 @@
       begun + std::min(kNoticeTime, settings.stop_time / 2);
   gateway.BeginDrain();
   while (steady_clock::now() < notice_end) {
-    WaitForSignal(signals, seconds(0), kPollInterval);
+    WaitForSignal(signals, kPollInterval);
   }
   gateway.BeginStop();
   while (!gateway.IsDrained() && steady_clock::now() < deadline) {
-    WaitForSignal(signals, seconds(0), kPollInterval);
+    WaitForSignal(signals, kPollInterval);
   }
   gateway.Stop(deadline);
 }
@@ -129,13 +122,8 @@
     return 2;
   }
   if (check_only) return 0;
-  // Blocked before the first thread starts, so that only main receives them.
-  sigset_t signals;
-  ::sigemptyset(&signals);
-  ::sigaddset(&signals, SIGTERM);
-  ::sigaddset(&signals, SIGINT);
-  ::sigaddset(&signals, SIGHUP);
-  ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  const sigset_t signals =
+      bamboorack::tools::BlockSignals({SIGTERM, SIGINT, SIGHUP});
   std::signal(SIGPIPE, SIG_IGN);
   return Serve(*settings, signals);
 }
