peer, daemon, operator: smaller repetitions, NFC

Cause: the merging of neighbouring rows stood twice in owner_changes; the gossip thread repeated Broadcast; the ownership duty kept a second copy of the announced version; `explain` sorted all events again for each one and made its list of words again for each line.

Change: AppendRow, Broadcast and OwnerAnnouncer::Version are used; events are inserted in the order of time, behind those of the same time as the stable sort did; the words are kept until another step of the request is found.

--- a/include/bamboorack/daemon/owner_announcer.h
+++ b/include/bamboorack/daemon/owner_announcer.h
@@ -23,6 +23,9 @@
   /// `map` is in force. Maps of one term have ascending versions.
   void Update(const OwnerMap& map);
 
+  /// The version of the newest map.
+  const OwnerMapVersion& Version() const { return this->version; }
+
   /// Returns the beat that is sent at `now`: what changed to most daemons, and
   /// the whole map to a few.
   peer::TakeTurns Next(const DaemonId& sender, MonotonicTime now);
--- a/include/bamboorack/daemon/ownership_duty.h
+++ b/include/bamboorack/daemon/ownership_duty.h
@@ -148,7 +148,6 @@
   MonotonicTime next_plan;
   MonotonicTime next_beat;
   OwnerAnnouncer announcer;
-  OwnerMapVersion sent_version;
   MonotonicTime next_publication;
   /// The newest owners that were heard of, as they came. Upstreams that
   /// register later give hashes their meaning.
--- a/include/bamboorack/operator/request_history.h
+++ b/include/bamboorack/operator/request_history.h
@@ -57,14 +57,19 @@
   std::size_t Skipped() const { return this->skipped; }
 
  private:
+  std::vector<std::string> ContextWords() const;
   bool IsContext(const LoggedEvent& event) const;
   void CountAtUpstream(const LoggedEvent& event);
   /// The step that ended the request, or its newest.
   const LoggedEvent& LastStep() const;
 
   const std::string request;
+  /// In the order of time.
   std::vector<LoggedEvent> steps;
   std::vector<LoggedEvent> context;
+  /// A line of the context has one of these. Made by the first line that is
+  /// shown after the last step was found.
+  std::vector<std::string> context_words;
   std::size_t others = 0;
   std::map<std::string, std::size_t> daemons;
   std::size_t skipped = 0;
--- a/include/bamboorack/peer/owner_changes.h
+++ b/include/bamboorack/peer/owner_changes.h
@@ -20,8 +20,11 @@
 
  private:
   struct Row {
-    HashedRange range;
+    KeyRange range;
+    UpstreamHash owner;
     std::uint64_t changed_at = 0;
+
+    bool operator==(const Row&) const = default;
   };
 
   /// Returns `ranges`, with the former change where the owner is the same.
--- a/lib/daemon/ownership_duty.cc
+++ b/lib/daemon/ownership_duty.cc
@@ -276,7 +276,7 @@
   }
   peer::LeaderBeat beat;
   beat.sender = this->identity.daemon;
-  beat.version = this->sent_version;
+  beat.version = this->announcer.Version();
   beat.lapsed =
       peer::LeaseStatement{this->leadership.ExpectedEnd(),
                            std::chrono::ceil<milliseconds>(end - this->now)};
@@ -345,7 +345,6 @@
     this->tables.owners =
         std::make_shared<const OwnerMap>(this->keeper.ToMap(this->now));
     this->has_new_tables = true;
-    this->sent_version = this->tables.owners->version;
     this->announcer.Update(*this->tables.owners);
     this->next_beat = this->now;
   }
--- a/lib/daemon/ownership_duty_store.cc
+++ b/lib/daemon/ownership_duty_store.cc
@@ -110,7 +110,7 @@
   this->leadership.StepDown(this->now + kStepDownTime);
   peer::LeaderBeat beat;
   beat.sender = this->identity.daemon;
-  beat.version = this->sent_version;
+  beat.version = this->announcer.Version();
   beat.has_resigned = true;
   this->actions.emplace_back(peer::ToGossip(std::move(beat)));
   this->Say(EventKind::kOwnership, "leadership_released",
--- a/lib/operator/request_history.cc
+++ b/lib/operator/request_history.cc
@@ -29,6 +29,7 @@
 // Losses at one upstream belong together within this time.
 constexpr seconds kSameLoss{2};
 constexpr std::size_t kMaxContext = 200;
+constexpr std::string_view kMovesPlanned = "moves_planned";
 
 std::optional<LoggedEvent> ParseEvent(std::string_view line) {
   const auto start = line.find('{');
@@ -127,11 +128,14 @@
   return "See the reason " + reason + " in docs/OPERATIONS.md.";
 }
 
-void SortByTime(std::vector<LoggedEvent>& events) {
-  std::stable_sort(events.begin(), events.end(),
-                   [](const LoggedEvent& a, const LoggedEvent& b) {
-                     return a.time < b.time;
-                   });
+/// Inserts `event` behind those of its time and earlier ones.
+void InsertByTime(std::vector<LoggedEvent>& events, LoggedEvent event) {
+  const auto at =
+      std::upper_bound(events.begin(), events.end(), event,
+                       [](const LoggedEvent& a, const LoggedEvent& b) {
+                         return a.time < b.time;
+                       });
+  events.insert(at, std::move(event));
 }
 
 void Print(std::ostream& out, const LoggedEvent& event) {
@@ -175,8 +179,8 @@
     return;
   }
   if (event->Field("request") != this->request) return;
-  this->steps.push_back(std::move(*event));
-  SortByTime(this->steps);
+  InsertByTime(this->steps, std::move(*event));
+  this->context_words.clear();
 }
 
 const LoggedEvent& RequestHistory::LastStep() const {
@@ -188,24 +192,28 @@
 
 void RequestHistory::AddContext(std::string_view line) {
   if (this->steps.empty()) return;
-  const std::string upstream = this->LastStep().Field("upstream");
-  std::vector<std::string> words(ContextEvents().begin(),
-                                 ContextEvents().end());
-  words.emplace_back("moves_planned");
-  if (!upstream.empty()) words.push_back(upstream);
-  if (!MentionsAny(line, words)) return;
+  if (this->context_words.empty()) this->context_words = this->ContextWords();
+  if (!MentionsAny(line, this->context_words)) return;
   auto event = ParseEvent(line);
   if (!event) return;
   this->CountAtUpstream(*event);
   if (!this->IsContext(*event)) return;
-  this->context.push_back(std::move(*event));
-  SortByTime(this->context);
+  InsertByTime(this->context, std::move(*event));
   // The newest lines before the end tell most.
   if (this->context.size() > kMaxContext) {
     this->context.erase(this->context.begin());
   }
 }
 
+std::vector<std::string> RequestHistory::ContextWords() const {
+  std::vector<std::string> words(ContextEvents().begin(),
+                                 ContextEvents().end());
+  words.emplace_back(kMovesPlanned);
+  const std::string upstream = this->LastStep().Field("upstream");
+  if (!upstream.empty()) words.push_back(upstream);
+  return words;
+}
+
 void RequestHistory::CountAtUpstream(const LoggedEvent& event) {
   const LoggedEvent& last = this->LastStep();
   const std::string upstream = last.Field("upstream");
@@ -225,7 +233,7 @@
   const bool is_of_daemon =
       event.source == last.source || event.event.starts_with("leadership_");
   if (ContextEvents().contains(event.event)) return is_of_daemon;
-  if (event.event == "moves_planned") return true;
+  if (event.event == kMovesPlanned) return true;
   const std::string upstream = last.Field("upstream");
   if (upstream.empty()) return false;
   return event.Field("holder") == upstream ||
--- a/lib/peer/gossip_thread.cc
+++ b/lib/peer/gossip_thread.cc
@@ -185,11 +185,11 @@
 }
 
 void GossipThread::SendInTurns(const TakeTurns& turns) {
-  const std::string most = this->Encode(turns.most);
   if (turns.few_count == 0) {
-    for (const auto& [name, peer] : this->peers) this->Send(most, peer);
+    this->Broadcast(turns.most);
     return;
   }
+  const std::string most = this->Encode(turns.most);
   const std::string few = this->Encode(turns.few);
   const std::size_t count = this->peers.size();
   std::size_t position = 0;
--- a/lib/peer/owner_changes.cc
+++ b/lib/peer/owner_changes.cc
@@ -14,19 +14,16 @@
   starts.insert(std::uint32_t{range.last.value} + 1);
 }
 
-/// Returns the row that holds `key`, or null. `RangeOf` gives a row's keys.
-template <typename Row, typename RangeOf>
-const Row* FindRow(const std::vector<Row>& rows, ShardKey key,
-                   RangeOf range_of) {
+/// Returns the row that holds `key`, or null.
+template <typename Row>
+const Row* FindRow(const std::vector<Row>& rows, ShardKey key) {
   const auto found = std::lower_bound(
       rows.begin(), rows.end(), key,
-      [&](const Row& row, ShardKey k) { return range_of(row).last < k; });
-  if (found == rows.end() || !range_of(*found).Contains(key)) return nullptr;
+      [](const Row& row, ShardKey k) { return row.range.last < k; });
+  if (found == rows.end() || !found->range.Contains(key)) return nullptr;
   return &*found;
 }
 
-const KeyRange& RangeOf(const HashedRange& row) { return row.range; }
-
 /// Calls `visit` with each range between two neighbours of `starts`.
 template <typename Visit>
 void VisitPieces(const Starts& starts, Visit visit) {
@@ -38,8 +35,21 @@
   }
 }
 
-bool Follows(const KeyRange& range, const KeyRange& before) {
-  return std::uint32_t{before.last.value} + 1 == range.first.value;
+/// Appends `row`, or lengthens the last row if that differs in its keys only
+/// and ends where `row` begins.
+template <typename Row>
+void AppendRow(std::vector<Row>& rows, const Row& row) {
+  if (!rows.empty()) {
+    Row longer = rows.back();
+    const bool follows =
+        std::uint32_t{longer.range.last.value} + 1 == row.range.first.value;
+    longer.range = row.range;
+    if (follows && longer == row) {
+      rows.back().range.last = row.range.last;
+      return;
+    }
+  }
+  rows.push_back(row);
 }
 
 std::vector<HashedRange> Overlaid(const std::vector<HashedRange>& rows,
@@ -49,17 +59,9 @@
   for (const HashedRange& row : changes) AddStarts(starts, row.range);
   std::vector<HashedRange> merged;
   VisitPieces(starts, [&](const KeyRange& piece) {
-    const HashedRange* row = FindRow(changes, piece.first, &RangeOf);
-    if (row == nullptr) row = FindRow(rows, piece.first, &RangeOf);
-    if (row == nullptr) return;
-    const bool continues = !merged.empty() &&
-                           merged.back().owner == row->owner &&
-                           Follows(piece, merged.back().range);
-    if (continues) {
-      merged.back().range.last = piece.last;
-    } else {
-      merged.push_back({piece, row->owner});
-    }
+    const HashedRange* row = FindRow(changes, piece.first);
+    if (row == nullptr) row = FindRow(rows, piece.first);
+    if (row != nullptr) AppendRow(merged, {piece, row->owner});
   });
   return merged;
 }
@@ -79,28 +81,17 @@
 std::vector<OwnerChanges::Row> OwnerChanges::Updated(
     const std::vector<Row>& rows, const std::vector<HashedRange>& ranges,
     std::uint64_t change) {
-  const auto range_of_row = [](const Row& row) -> const KeyRange& {
-    return row.range.range;
-  };
   Starts starts;
-  for (const Row& row : rows) AddStarts(starts, row.range.range);
+  for (const Row& row : rows) AddStarts(starts, row.range);
   for (const HashedRange& row : ranges) AddStarts(starts, row.range);
   std::vector<Row> updated;
   VisitPieces(starts, [&](const KeyRange& piece) {
-    const HashedRange* now = FindRow(ranges, piece.first, &RangeOf);
+    const HashedRange* now = FindRow(ranges, piece.first);
     if (now == nullptr) return;
-    const Row* before = FindRow(rows, piece.first, range_of_row);
-    const bool is_same = before != nullptr && before->range.owner == now->owner;
-    const std::uint64_t changed_at = is_same ? before->changed_at : change;
-    const bool continues = !updated.empty() &&
-                           updated.back().range.owner == now->owner &&
-                           updated.back().changed_at == changed_at &&
-                           Follows(piece, updated.back().range.range);
-    if (continues) {
-      updated.back().range.range.last = piece.last;
-    } else {
-      updated.push_back({{piece, now->owner}, changed_at});
-    }
+    const Row* before = FindRow(rows, piece.first);
+    const bool is_same = before != nullptr && before->owner == now->owner;
+    AppendRow(updated,
+              {piece, now->owner, is_same ? before->changed_at : change});
   });
   return updated;
 }
@@ -109,7 +100,8 @@
   HashedOwners changes;
   for (const auto& [service, rows] : this->services) {
     for (const Row& row : rows) {
-      if (row.changed_at > change) changes[service].push_back(row.range);
+      if (row.changed_at <= change) continue;
+      changes[service].push_back({row.range, row.owner});
     }
   }
   return changes;
