unittests: simulated upstreams forget holds and work that have ended

Cause: since a grant no longer replaces earlier holds, the simulated upstream kept each renewal for the whole script, and the fuzz of moves took longer: upstream_tests had run for more than 200 s with the address sanitizer beside a build, of the 300 s that a test program has.

Change: holds that ended before a grant arrived and work that has ended are dropped.

--- a/unittests/upstream/range_world.h
+++ b/unittests/upstream/range_world.h
@@ -39,6 +39,9 @@
     }
     this->seen.emplace_back(call.range, call.token);
     // A longer hold of the same keys stays.
+    std::erase_if(this->holds, [arrived](const Hold& earlier) {
+      return earlier.until <= arrived;
+    });
     this->holds.push_back(
         {call.range, call.token, arrived + OnSlowClock(call.lease)});
     return true;
@@ -60,6 +63,8 @@
 
   /// Begins a request for `key` that takes until `end`, if the key is held.
   void BeginWork(ShardKey key, MonotonicTime now, MonotonicTime end) {
+    std::erase_if(this->works,
+                  [now](const Work& work) { return work.end <= now; });
     if (this->Holds(key, now)) this->works.push_back({key, end, {}});
   }
 
