caller: serve requests that callers send ahead at the same time

Cause: a connection had one request at a time. A request that its caller sent before the answer to the one in front of it was read only after that answer: it waited unseen, and its deadline began late.

Change: a connection has a queue of exchanges (RequestPipeline, without sockets). A stop answers what was passed on, closes with the last of these and leaves the rest unread. Deadlines and route time-outs count from the arrival of the head (ArrivalTimes).

--- a/include/bamboorack/caller/arrival_times.h
+++ b/include/bamboorack/caller/arrival_times.h
@@ -19,9 +19,9 @@
   void OnReceived(std::size_t input_size, MonotonicTime now);
   /// Tells that bytes were taken from the front and `input_size` are left.
   void OnTaken(std::size_t input_size);
-  /// Returns when the unread byte at `position` arrived, or `now` if it has not
-  /// been received.
-  MonotonicTime At(std::size_t position, MonotonicTime now) const;
+  /// Returns when the unread byte at `position` arrived. It must have been
+  /// received.
+  MonotonicTime At(std::size_t position) const;
 
  private:
   /// Consecutive bytes that were received together.
--- a/include/bamboorack/caller/caller_reactor.h
+++ b/include/bamboorack/caller/caller_reactor.h
@@ -13,9 +13,11 @@
 #include <string>
 #include <unordered_map>
 
+#include "bamboorack/caller/arrival_times.h"
 #include "bamboorack/caller/caller_thread.h"
 #include "bamboorack/caller/messages.h"
 #include "bamboorack/caller/request_check.h"
+#include "bamboorack/caller/request_pipeline.h"
 #include "bamboorack/core/bounded_ring.h"
 #include "bamboorack/core/http_body.h"
 #include "bamboorack/core/http_connection.h"
@@ -47,16 +49,18 @@
  private:
   using Key = PollReactor::Key;
 
-  /// What a connection does at the moment.
+  /// What a connection reads at the moment. Requests that were read whole are
+  /// in its pipeline.
   enum class Phase : std::uint8_t {
-    /// No byte of the next request has arrived.
+    /// No byte of the next request has been read.
     kIdle,
     kReadingHead,
     kReadingBody,
-    /// The request is with the routing thread.
-    kServing,
-    kWritingAnswer,
-    /// The answer is sent and the connection will be closed. Input is
+    /// The next request stays unread until there is room for it.
+    kPaused,
+    /// The last request has been read. What follows is discarded.
+    kFinishing,
+    /// The last answer is sent and the connection will be closed. Input is
     /// discarded first, because closing with unread input resets the
     /// connection, and a reset can destroy the answer on its way.
     kLingering,
@@ -66,19 +70,33 @@
   enum class Step : std::uint8_t { kWait, kAgain, kClose };
 
   struct Connection {
-    explicit Connection(const Poco::Net::StreamSocket& socket) : http(socket) {}
+    Connection(const Poco::Net::StreamSocket& socket,
+               const PipelineLimits& limits, PipelineUsage& usage)
+        : http(socket), pipeline(limits, usage) {}
 
     Key key = 0;
     HttpConnection http;
     Phase phase = Phase::kIdle;
     bool peer_closed = false;
+    ArrivalTimes arrival_times;
+    /// The requests that were read whole and are not answered yet.
+    RequestPipeline pipeline;
+
+    // The request that is being read.
     bool keep_alive = true;
     CheckedRequest checked;
     BodyReader body;
     MonotonicTime arrived;
     std::size_t reserved_body = 0;
-    /// Set while the request is with the routing thread.
-    std::optional<CallerSlot> slot;
+    /// The caller waits for `100 Continue`, which must follow the answers in
+    /// front of it.
+    bool is_continue_due = false;
+
+    /// When the phase expires, and when a write without progress does.
+    std::optional<MonotonicTime> phase_deadline;
+    std::optional<MonotonicTime> write_deadline;
+    /// The deadline that is set in the reactor.
+    std::optional<MonotonicTime> timer;
   };
 
   /// The handlers of one phase.
@@ -86,10 +104,11 @@
     Phase phase;
     Step (CallerReactor::*advance)(Connection&);
     Step (CallerReactor::*expire)(Connection&);
-    /// Whether input is read in this phase.
-    bool reads;
+    /// Whether input is kept in this phase; otherwise it is discarded.
+    bool keeps_input;
   };
   static const std::array<PhaseRow, 6> kPhases;
+  static const PhaseRow& RowOf(const Connection& connection);
 
   void Handle(const PollReactor::Event& event);
   void HandleExpired(Key key);
@@ -102,35 +121,54 @@
 
   /// Reads and writes what the socket is ready for.
   Step Transfer(Connection& connection, const PollReactor::Event& event);
-  /// Handles phases until the connection has to wait, then waits or closes.
+  Step ReadInput(Connection& connection);
+  /// Sends answers and handles phases until the connection has to wait, then
+  /// waits or closes.
   void Drive(Connection& connection, Step step);
   void WatchFor(Connection& connection);
+  void UpdateTimer(Connection& connection);
   void Close(Connection& connection);
   std::size_t InputLimit(const Connection& connection) const;
 
   Step AdvanceIdle(Connection& connection);
   Step AdvanceHead(Connection& connection);
   Step AdvanceBody(Connection& connection);
-  Step AdvanceServing(Connection& connection);
-  Step AdvanceWriting(Connection& connection);
+  Step AdvancePaused(Connection& connection);
+  Step AdvanceFinishing(Connection& connection);
   Step AdvanceLingering(Connection& connection);
   Step ExpireIdle(Connection& connection);
   Step ExpireHead(Connection& connection);
   Step ExpireBody(Connection& connection);
-  Step ExpireServing(Connection& connection);
-  Step ExpireWriting(Connection& connection);
+  Step ExpirePaused(Connection& connection);
+  Step ExpireFinishing(Connection& connection);
   Step ExpireLingering(Connection& connection);
 
+  bool MayReadNext(const Connection& connection) const;
   Step TakeHead(Connection& connection, std::size_t length);
   Step StartBody(Connection& connection);
-  Step HandOver(Connection& connection);
+  /// Adds the request that was read to the pipeline.
+  Step FinishRequest(Connection& connection);
+  /// Hands a request to the routing thread.
+  void PassOn(Connection& connection, CallerExchange& exchange);
   /// Counts what a body without announced length holds; false if the budget
   /// is used up.
   bool ReserveGrowth(Connection& connection);
-  /// Refuses before the request is handed over, and counts the reason.
+  /// Refuses the request that is being read, and counts the reason.
   Step Refuse(Connection& connection, Refusal refusal);
-  Step Answer(Connection& connection, const Result& result);
-  void ReleaseBody(Connection& connection);
+  Step Reject(Connection& connection, Reason reason, std::string detail);
+  /// Adds an exchange for the request that is being read and returns it.
+  CallerExchange& AddExchange(Connection& connection);
+  /// Reads the next request, or no more if the connection closes after this.
+  Step ReadOn(Connection& connection);
+  /// Reads no more requests. What is only partly read is dropped.
+  void StopReading(Connection& connection);
+  void AnswerOverdue(Connection& connection, MonotonicTime now);
+  /// Sends the answers that have no other in front of them. Returns false if
+  /// the connection is broken.
+  bool SendAnswers(Connection& connection);
+  void QueueAnswer(Connection& connection, const CallerExchange& exchange);
+  void ReleaseBody(std::size_t& reserved);
+  bool IsEnding() const { return this->is_stopping || this->drain_begun; }
   void SetTimeout(Connection& connection, std::chrono::milliseconds timeout);
   /// The time by which a body has to make progress.
   void SetBodyDeadline(Connection& connection);
@@ -143,6 +181,7 @@
   Poco::Net::ServerSocket listener;
   std::optional<Key> listener_key;
   std::uint16_t port = 0;
+  PipelineUsage pipeline_usage;
   std::unordered_map<Key, std::unique_ptr<Connection>> connections;
   std::unordered_map<std::uint64_t, Key> slots;
   std::uint64_t last_slot = 0;
--- a/include/bamboorack/caller/caller_thread.h
+++ b/include/bamboorack/caller/caller_thread.h
@@ -11,6 +11,7 @@
 #include "bamboorack/caller/caller_protocol.h"
 #include "bamboorack/caller/messages.h"
 #include "bamboorack/caller/request_check.h"
+#include "bamboorack/caller/request_pipeline.h"
 #include "bamboorack/core/bounded_ring.h"
 #include "bamboorack/core/ids.h"
 #include "bamboorack/core/metrics.h"
@@ -34,6 +35,8 @@
   /// Sum of the bodies of all requests that are being read or served, in
   /// bytes. A request that does not fit is refused with `queue_full`.
   std::size_t body_budget = std::size_t{1} << 30;
+  /// Bounds for requests that callers send before earlier ones are answered.
+  PipelineLimits pipeline{};
 };
 
 /// Serves all caller connections with one thread: reads and checks requests,
--- a/include/bamboorack/daemon/gateway_router.h
+++ b/include/bamboorack/daemon/gateway_router.h
@@ -113,6 +113,9 @@
   void OnCallerGone(const caller::CallerGone& gone);
   void OnDispatchResult(upstream::DispatchResult result);
 
+  /// Whether a request that its caller may send again must not start before the
+  /// answers in front of it are sent.
+  bool MustBeFirst(const Request& request) const;
   std::optional<Refusal> Admit(PendingRequest& pending,
                                const caller::RequestArrived& arrived);
   /// Sends, queues or refuses the request. Only a request that has not been
--- a/lib/caller/arrival_times.cc
+++ b/lib/caller/arrival_times.cc
@@ -1,5 +1,9 @@
 #include "bamboorack/caller/arrival_times.h"
 
+#include <glog/logging.h>
+
+#include <algorithm>
+
 namespace bamboorack::caller {
 
 void ArrivalTimes::OnReceived(std::size_t input_size, MonotonicTime now) {
@@ -21,13 +25,15 @@
   this->segments.erase(this->segments.begin(), first);
 }
 
-MonotonicTime ArrivalTimes::At(std::size_t position, MonotonicTime now) const {
+MonotonicTime ArrivalTimes::At(std::size_t position) const {
+  CHECK_LT(position, this->known_size);
   std::size_t end = 0;
-  for (const Segment& segment : this->segments) {
-    end += segment.size;
-    if (position < end) return segment.arrived_at;
-  }
-  return now;
+  const auto found = std::find_if(this->segments.begin(), this->segments.end(),
+                                  [&end, position](const Segment& segment) {
+                                    end += segment.size;
+                                    return position < end;
+                                  });
+  return found->arrived_at;
 }
 
 }  // namespace bamboorack::caller
--- a/lib/caller/caller_reactor.cc
+++ b/lib/caller/caller_reactor.cc
@@ -23,9 +23,6 @@
 using std::chrono::steady_clock;
 using IoStatus = HttpConnection::IoStatus;
 
-// An idle connection stays open this long during a stop: its caller may just
-// be sending a request, whose answer then tells it to close the connection.
-constexpr std::chrono::milliseconds kStopGrace{500};
 constexpr int kBacklog = 1024;
 // Bound the work of one turn, so that answers and new connections cannot
 // starve each other.
@@ -33,7 +30,6 @@
 constexpr int kAnswersPerTurn = 1024;
 // Accepting fails while the process has no free file descriptor.
 constexpr milliseconds kAcceptPause{100};
-constexpr milliseconds kLingerTime{500};
 // The routing thread answers by the request's deadline; this covers its delay.
 constexpr milliseconds kAnswerGrace{1'000};
 constexpr std::size_t kMaxPipelinedInput = 16'384;
@@ -61,12 +57,17 @@
              &CallerReactor::ExpireHead, true},
     PhaseRow{Phase::kReadingBody, &CallerReactor::AdvanceBody,
              &CallerReactor::ExpireBody, true},
-    PhaseRow{Phase::kServing, &CallerReactor::AdvanceServing,
-             &CallerReactor::ExpireServing, true},
-    PhaseRow{Phase::kWritingAnswer, &CallerReactor::AdvanceWriting,
-             &CallerReactor::ExpireWriting, false},
+    PhaseRow{Phase::kPaused, &CallerReactor::AdvancePaused,
+             &CallerReactor::ExpirePaused, true},
+    PhaseRow{Phase::kFinishing, &CallerReactor::AdvanceFinishing,
+             &CallerReactor::ExpireFinishing, false},
     PhaseRow{Phase::kLingering, &CallerReactor::AdvanceLingering,
-             &CallerReactor::ExpireLingering, true}};
+             &CallerReactor::ExpireLingering, false}};
+
+const CallerReactor::PhaseRow& CallerReactor::RowOf(
+    const Connection& connection) {
+  return kPhases.at(static_cast<std::size_t>(connection.phase));
+}
 
 CallerReactor::CallerReactor(const CallerThreadSettings& thread_settings,
                              BoundedRing<FromCaller>& out_ring,
@@ -146,8 +147,20 @@
   const auto found = this->connections.find(key);
   if (found == this->connections.end()) return;
   Connection& connection = *found->second;
-  const auto& row = kPhases.at(static_cast<std::size_t>(connection.phase));
-  this->Drive(connection, (this->*row.expire)(connection));
+  connection.timer.reset();
+  const MonotonicTime now = steady_clock::now();
+  if (connection.write_deadline && *connection.write_deadline <= now) {
+    this->metrics.Count("caller_write_timeouts");
+    this->Close(connection);
+    return;
+  }
+  this->AnswerOverdue(connection, now);
+  Step step = Step::kAgain;
+  if (connection.phase_deadline && *connection.phase_deadline <= now) {
+    connection.phase_deadline.reset();
+    step = (this->*RowOf(connection).expire)(connection);
+  }
+  this->Drive(connection, step);
 }
 
 void CallerReactor::Accept() {
@@ -173,10 +186,12 @@
     this->metrics.Count("caller_connections_refused");
     return;
   }
-  auto connection = std::make_unique<Connection>(socket);
+  auto connection = std::make_unique<Connection>(
+      socket, this->settings.pipeline, this->pipeline_usage);
   connection->key =
       this->poll->Add(connection->http.Socket(), PollSet::POLL_READ);
   this->SetTimeout(*connection, this->settings.idle_timeout);
+  this->UpdateTimer(*connection);
   this->metrics.Count("caller_connections");
   this->connections.emplace(connection->key, std::move(connection));
 }
@@ -186,18 +201,21 @@
   if (event.has_failed) return Step::kClose;
   if (event.is_writable && connection.http.HasOutput()) {
     if (connection.http.Write() != IoStatus::kOk) return Step::kClose;
-    if (connection.phase == Phase::kWritingAnswer) {
-      this->SetTimeout(connection, this->settings.idle_timeout);
-    }
+    connection.write_deadline =
+        steady_clock::now() + this->settings.idle_timeout;
   }
-  const auto& row = kPhases.at(static_cast<std::size_t>(connection.phase));
-  if (!event.is_readable || !row.reads) return Step::kAgain;
+  return event.is_readable ? this->ReadInput(connection) : Step::kAgain;
+}
+
+CallerReactor::Step CallerReactor::ReadInput(Connection& connection) {
   const IoStatus status =
-      connection.phase == Phase::kLingering
-          ? connection.http.ReadAndDiscard()
-          : connection.http.Read(this->InputLimit(connection));
+      RowOf(connection).keeps_input
+          ? connection.http.Read(this->InputLimit(connection))
+          : connection.http.ReadAndDiscard();
   if (status == IoStatus::kFailed) return Step::kClose;
   if (status == IoStatus::kClosed) connection.peer_closed = true;
+  connection.arrival_times.OnReceived(connection.http.Input().size(),
+                                      steady_clock::now());
   if (connection.phase == Phase::kReadingBody) {
     this->SetBodyDeadline(connection);
   }
@@ -205,31 +223,30 @@
 }
 
 std::size_t CallerReactor::InputLimit(const Connection& connection) const {
-  if (connection.phase == Phase::kReadingBody) {
-    return kMaxBodyInput;
-  }
-  if (connection.phase == Phase::kServing) return kMaxPipelinedInput;
+  if (connection.phase == Phase::kReadingBody) return kMaxBodyInput;
+  if (connection.phase == Phase::kPaused) return kMaxPipelinedInput;
   return this->settings.limits.head + 1;
 }
 
 void CallerReactor::Drive(Connection& connection, Step step) {
   while (step == Step::kAgain) {
-    const auto& row = kPhases.at(static_cast<std::size_t>(connection.phase));
-    step = (this->*row.advance)(connection);
+    step = this->SendAnswers(connection)
+               ? (this->*RowOf(connection).advance)(connection)
+               : Step::kClose;
   }
   if (step == Step::kClose) {
     this->Close(connection);
     return;
   }
   this->WatchFor(connection);
+  this->UpdateTimer(connection);
 }
 
 void CallerReactor::WatchFor(Connection& connection) {
-  const auto& row = kPhases.at(static_cast<std::size_t>(connection.phase));
   const bool has_room =
-      connection.phase == Phase::kLingering ||
+      !RowOf(connection).keeps_input ||
       connection.http.Input().size() < this->InputLimit(connection);
-  const int read = row.reads && has_room && !connection.peer_closed
+  const int read = has_room && !connection.peer_closed
                        ? static_cast<int>(PollSet::POLL_READ)
                        : 0;
   const int write =
@@ -237,247 +254,115 @@
   this->poll->SetModes(connection.key, read | write);
 }
 
+void CallerReactor::UpdateTimer(Connection& connection) {
+  if (!connection.http.HasOutput()) connection.write_deadline.reset();
+  std::optional<MonotonicTime> next = connection.pipeline.NextAnswerDue();
+  for (const auto& deadline :
+       {connection.phase_deadline, connection.write_deadline}) {
+    if (deadline) next = std::min(next.value_or(*deadline), *deadline);
+  }
+  if (next == connection.timer) return;
+  connection.timer = next;
+  if (next) {
+    this->poll->SetDeadline(connection.key, *next);
+  } else {
+    this->poll->ClearDeadline(connection.key);
+  }
+}
+
 void CallerReactor::Close(Connection& connection) {
-  if (connection.slot) {
-    this->slots.erase(connection.slot->value);
+  for (const CallerSlot slot : connection.pipeline.SlotsInWork()) {
+    this->slots.erase(slot.value);
     this->metrics.Count("caller_gone");
-    if (!this->out.TryPush(CallerGone{*connection.slot})) {
+    if (!this->out.TryPush(CallerGone{slot})) {
       this->metrics.Count("caller_gone_dropped");
     }
   }
-  this->ReleaseBody(connection);
+  this->reserved_bodies -= connection.pipeline.Clear();
+  this->ReleaseBody(connection.reserved_body);
   this->poll->Remove(connection.key);
   this->connections.erase(connection.key);
 }
 
-CallerReactor::Step CallerReactor::AdvanceIdle(Connection& connection) {
-  if (!connection.http.Input().empty()) {
-    connection.phase = Phase::kReadingHead;
-    connection.keep_alive = true;
-    this->SetTimeout(connection, this->settings.head_timeout);
-    return Step::kAgain;
-  }
-  return connection.peer_closed ? Step::kClose : Step::kWait;
-}
-
-CallerReactor::Step CallerReactor::AdvanceHead(Connection& connection) {
-  std::string& input = connection.http.Input();
-  // RFC 9112 lets a server ignore empty lines before a request.
-  while (input.starts_with("\r\n")) input.erase(0, 2);
-  const auto length = FindHeadEnd(input);
-  const std::size_t limit = this->settings.limits.head;
-  if (length.value_or(input.size()) > limit) {
-    connection.checked = {};
-    connection.keep_alive = false;
-    return this->Refuse(connection,
-                        {Ending::kNotRun, Reason::kHeadTooLarge,
-                         "head is larger than " + std::to_string(limit)});
-  }
-  if (length) return this->TakeHead(connection, *length);
-  if (!connection.peer_closed) return Step::kWait;
-  this->metrics.Count("caller_early_closes");
-  return Step::kClose;
-}
-
-CallerReactor::Step CallerReactor::TakeHead(Connection& connection,
-                                            std::size_t length) {
-  std::string& input = connection.http.Input();
-  connection.arrived = steady_clock::now();
-  connection.checked = {};
-  const auto parsed =
-      ParseRequestHead(std::string_view(input).substr(0, length));
-  if (!parsed) {
-    connection.keep_alive = false;
-    return this->Refuse(connection, {Ending::kNotRun, Reason::kMalformedRequest,
-                                     "invalid head: " + parsed.error()});
-  }
-  connection.checked.request.method = parsed->getMethod();
-  connection.keep_alive = parsed->getKeepAlive();
-  auto checked = this->settings.protocol->Check(
-      ToRequestHead(*parsed), this->settings.limits, connection.arrived);
-  if (!checked) {
-    // The end of the body is not known for certain, so nothing after it can
-    // be read as a request.
-    connection.keep_alive = false;
-    return this->Refuse(connection, std::move(checked.error()));
-  }
-  connection.checked = std::move(*checked);
-  input.erase(0, length);
-  return this->StartBody(connection);
-}
-
-CallerReactor::Step CallerReactor::StartBody(Connection& connection) {
-  const CheckedRequest& checked = connection.checked;
-  const std::size_t length = checked.body_length;
-  if (this->reserved_bodies + length > this->settings.body_budget) {
-    connection.keep_alive = false;
-    return this->Refuse(connection, {Ending::kNotRun, Reason::kQueueFull,
-                                     "no room for a body of " +
-                                         std::to_string(length) + " bytes"});
-  }
-  this->reserved_bodies += length;
-  connection.reserved_body = length;
-  connection.body = BodyReader({checked.framing, length},
-                               std::max(length, checked.body_limit));
-  connection.phase = Phase::kReadingBody;
-  this->SetBodyDeadline(connection);
-  if (checked.expects_continue && connection.http.Input().size() < length) {
-    connection.http.Queue(EncodeContinue());
-    if (connection.http.Write() != IoStatus::kOk) return Step::kClose;
-  }
-  return Step::kAgain;
-}
-
-CallerReactor::Step CallerReactor::AdvanceBody(Connection& connection) {
-  const BodyReader::Status status =
-      connection.body.Feed(connection.http.Input());
-  if (status == BodyReader::Status::kComplete) {
-    std::string body = connection.body.Take();
-    connection.checked.request.body =
-        body.empty() ? EmptyBody()
-                     : std::make_shared<const std::string>(std::move(body));
-    return this->HandOver(connection);
-  }
-  if (status == BodyReader::Status::kMalformed) {
-    connection.keep_alive = false;
-    return this->Refuse(connection, {Ending::kNotRun, Reason::kMalformedRequest,
-                                     "invalid chunked body"});
-  }
-  if (status == BodyReader::Status::kTooLarge) {
-    connection.keep_alive = false;
-    return this->Refuse(connection, {Ending::kNotRun, Reason::kBodyTooLarge,
-                                     "chunked body is too large"});
-  }
-  if (!this->ReserveGrowth(connection)) {
-    connection.keep_alive = false;
-    return this->Refuse(connection, {Ending::kNotRun, Reason::kQueueFull,
-                                     "no room for a chunked body"});
-  }
-  if (!connection.peer_closed) return Step::kWait;
-  this->metrics.Count("caller_early_closes");
-  return Step::kClose;
-}
-
-bool CallerReactor::ReserveGrowth(Connection& connection) {
-  const std::size_t held = connection.body.Size();
-  if (held <= connection.reserved_body) return true;
-  const std::size_t growth = held - connection.reserved_body;
-  if (this->reserved_bodies + growth > this->settings.body_budget) return false;
-  this->reserved_bodies += growth;
-  connection.reserved_body = held;
-  return true;
-}
-
-CallerReactor::Step CallerReactor::HandOver(Connection& connection) {
+void CallerReactor::PassOn(Connection& connection, CallerExchange& exchange) {
   const CallerSlot slot{++this->last_slot};
-  Request request = connection.checked.request;
-  connection.checked.request.body = nullptr;
+  Request request = std::move(exchange.request);
   if (request.id.IsEmpty()) {
     request.id = RequestId(this->id_prefix + std::to_string(slot.value));
   }
-  const MonotonicTime deadline = request.deadline;
-  if (!this->out.TryPush(RequestArrived{slot, std::move(request)})) {
-    return this->Refuse(connection, {Ending::kNotRun, Reason::kRingFull,
-                                     "the daemon is overloaded"});
+  const bool is_ahead = !connection.pipeline.IsFirst(exchange);
+  if (is_ahead) this->metrics.Count("caller_requests_sent_ahead");
+  exchange.answer_by = request.deadline + kAnswerGrace;
+  RequestArrived message{slot, std::move(request), exchange.arrived_at,
+                         is_ahead};
+  if (!this->out.TryPush(std::move(message))) {
+    this->metrics.CountRefusal(Reason::kRingFull);
+    connection.pipeline.SetResult(
+        exchange, NotRun(Reason::kRingFull, "the daemon is overloaded"));
+    return;
   }
-  connection.slot = slot;
-  connection.phase = Phase::kServing;
+  exchange.state = CallerExchange::State::kInWork;
+  exchange.slot = slot;
   this->slots.emplace(slot.value, connection.key);
-  this->poll->SetDeadline(connection.key, deadline + kAnswerGrace);
-  return Step::kAgain;
-}
-
-CallerReactor::Step CallerReactor::AdvanceServing(Connection& connection) {
-  return connection.peer_closed ? Step::kClose : Step::kWait;
-}
-
-CallerReactor::Step CallerReactor::Refuse(Connection& connection,
-                                          Refusal refusal) {
-  this->metrics.CountRefusal(refusal.reason);
-  return this->Answer(connection, tl::make_unexpected(std::move(refusal)));
 }
 
-CallerReactor::Step CallerReactor::Answer(Connection& connection,
-                                          const Result& result) {
-  this->ReleaseBody(connection);
-  if (this->is_stopping || this->drain_begun.load()) {
-    connection.keep_alive = false;
+bool CallerReactor::SendAnswers(Connection& connection) {
+  bool has_new_output = false;
+  while (true) {
+    // The caller is told that the connection ends with the last request that
+    // was passed on. It takes what follows as not read.
+    if (this->IsEnding() && !connection.pipeline.IsEmpty()) {
+      this->StopReading(connection);
+    }
+    const auto exchange = connection.pipeline.PopAnswered();
+    if (!exchange) break;
+    this->QueueAnswer(connection, *exchange);
+    has_new_output = true;
   }
-  const AnswerForm form{connection.checked.request.method == "HEAD",
-                        connection.keep_alive};
-  connection.http.Queue(this->settings.protocol->Encode(result, form));
-  connection.phase = Phase::kWritingAnswer;
-  this->SetTimeout(connection, this->settings.idle_timeout);
-  if (connection.http.Write() != IoStatus::kOk) return Step::kClose;
-  return Step::kAgain;
-}
-
-CallerReactor::Step CallerReactor::AdvanceWriting(Connection& connection) {
-  if (connection.http.HasOutput()) return Step::kWait;
-  if (connection.keep_alive && !connection.peer_closed) {
-    connection.phase = Phase::kIdle;
-    this->SetTimeout(connection, this->is_stopping
-                                     ? kStopGrace
-                                     : this->settings.idle_timeout);
-    return Step::kAgain;
+  if (CallerExchange* held = connection.pipeline.HeldFirst()) {
+    this->PassOn(connection, *held);
+  }
+  if (connection.is_continue_due && connection.pipeline.IsEmpty()) {
+    connection.is_continue_due = false;
+    connection.http.Queue(EncodeContinue());
+    has_new_output = true;
+  }
+  if (!has_new_output) return true;
+  connection.write_deadline = steady_clock::now() + this->settings.idle_timeout;
+  return connection.http.Write() == IoStatus::kOk;
+}
+
+void CallerReactor::QueueAnswer(Connection& connection,
+                                const CallerExchange& exchange) {
+  const AnswerForm form{exchange.is_head, exchange.keep_alive};
+  connection.http.Queue(
+      this->settings.protocol->Encode(*exchange.result, form));
+}
+
+void CallerReactor::AnswerOverdue(Connection& connection, MonotonicTime now) {
+  while (CallerExchange* exchange = connection.pipeline.FindOverdue(now)) {
+    this->metrics.Count("caller_missing_answers");
+    this->metrics.CountRefusal(Reason::kDeadlinePassed);
+    this->slots.erase(exchange->slot.value);
+    this->ReleaseBody(exchange->reserved_body);
+    connection.pipeline.SetResult(
+        *exchange,
+        Unknown(Reason::kDeadlinePassed, "no answer by the deadline"));
   }
-  connection.http.Input().clear();
-  connection.http.CloseSend();
-  connection.phase = Phase::kLingering;
-  this->SetTimeout(connection, kLingerTime);
-  return Step::kAgain;
-}
-
-CallerReactor::Step CallerReactor::AdvanceLingering(Connection& connection) {
-  return connection.peer_closed ? Step::kClose : Step::kWait;
-}
-
-CallerReactor::Step CallerReactor::ExpireIdle(Connection& /*connection*/) {
-  this->metrics.Count("caller_idle_closes");
-  return Step::kClose;
-}
-
-CallerReactor::Step CallerReactor::ExpireHead(Connection& /*connection*/) {
-  this->metrics.Count("caller_head_timeouts");
-  return Step::kClose;
-}
-
-CallerReactor::Step CallerReactor::ExpireBody(Connection& /*connection*/) {
-  this->metrics.Count("caller_body_timeouts");
-  return Step::kClose;
-}
-
-CallerReactor::Step CallerReactor::ExpireServing(Connection& connection) {
-  this->metrics.Count("caller_missing_answers");
-  this->slots.erase(connection.slot->value);
-  connection.slot.reset();
-  return this->Refuse(connection, {Ending::kUnknown, Reason::kDeadlinePassed,
-                                   "no answer by the deadline"});
-}
-
-CallerReactor::Step CallerReactor::ExpireWriting(Connection& /*connection*/) {
-  this->metrics.Count("caller_write_timeouts");
-  return Step::kClose;
-}
-
-CallerReactor::Step CallerReactor::ExpireLingering(Connection& /*unused*/) {
-  return Step::kClose;
 }
 
-void CallerReactor::ReleaseBody(Connection& connection) {
-  this->reserved_bodies -= connection.reserved_body;
-  connection.reserved_body = 0;
+void CallerReactor::ReleaseBody(std::size_t& reserved) {
+  this->reserved_bodies -= std::exchange(reserved, 0);
 }
 
 void CallerReactor::SetTimeout(Connection& connection, milliseconds timeout) {
-  this->poll->SetDeadline(connection.key, steady_clock::now() + timeout);
+  connection.phase_deadline = steady_clock::now() + timeout;
 }
 
 void CallerReactor::SetBodyDeadline(Connection& connection) {
-  this->poll->SetDeadline(
-      connection.key,
+  connection.phase_deadline =
       std::min(connection.checked.request.deadline,
-               steady_clock::now() + this->settings.idle_timeout));
+               steady_clock::now() + this->settings.idle_timeout);
 }
 
 void CallerReactor::TakeAnswers() {
@@ -497,12 +382,22 @@
   }
   Connection& connection = *this->connections.at(slot->second);
   this->slots.erase(slot);
-  connection.slot.reset();
+  CallerExchange* exchange = connection.pipeline.Find(answer.slot);
+  CHECK(exchange != nullptr) << "slot without a request in work";
+  if (answer.returned) {
+    exchange->state = CallerExchange::State::kHeldBack;
+    exchange->request = std::move(*answer.returned);
+    this->metrics.Count("caller_requests_held_back");
+    this->Drive(connection, Step::kAgain);
+    return;
+  }
   const Ending ending =
       answer.result ? Ending::kDone : answer.result.error().ending;
-  this->metrics.ObserveLatency(connection.checked.request.rank, ending,
-                               steady_clock::now() - connection.arrived);
-  this->Drive(connection, this->Answer(connection, answer.result));
+  this->metrics.ObserveLatency(exchange->rank, ending,
+                               steady_clock::now() - exchange->arrived_at);
+  this->ReleaseBody(exchange->reserved_body);
+  connection.pipeline.SetResult(*exchange, std::move(answer.result));
+  this->Drive(connection, Step::kAgain);
 }
 
 void CallerReactor::TakeStop() {
@@ -519,13 +414,15 @@
   PollReactor::Event event;
   event.is_readable = true;
   for (const Key key : keys) {
+    const auto found = this->connections.find(key);
+    if (found == this->connections.end()) continue;
+    // Idle connections get the shorter idle time of a stop.
+    if (found->second->phase == Phase::kIdle) {
+      found->second->phase_deadline.reset();
+    }
     event.key = key;
     this->Handle(event);
   }
-  for (const auto& [key, connection] : this->connections) {
-    if (connection->phase != Phase::kIdle) continue;
-    this->SetTimeout(*connection, kStopGrace);
-  }
   LOG(INFO) << "callers=stopping connections=" << this->connections.size();
 }
 
--- a/lib/caller/request_pipeline.cc
+++ b/lib/caller/request_pipeline.cc
@@ -33,12 +33,11 @@
 }
 
 CallerExchange* RequestPipeline::Find(CallerSlot slot) {
-  const auto found =
-      std::find_if(this->exchanges.begin(), this->exchanges.end(),
-                   [slot](const CallerExchange& exchange) {
-                     return exchange.state == State::kInWork &&
-                            exchange.slot == slot;
-                   });
+  const auto found = std::find_if(
+      this->exchanges.begin(), this->exchanges.end(),
+      [slot](const CallerExchange& exchange) {
+        return exchange.state == State::kInWork && exchange.slot == slot;
+      });
   return found == this->exchanges.end() ? nullptr : &*found;
 }
 
@@ -66,12 +65,11 @@
 }
 
 CallerExchange* RequestPipeline::FindOverdue(MonotonicTime now) {
-  const auto found =
-      std::find_if(this->exchanges.begin(), this->exchanges.end(),
-                   [now](const CallerExchange& exchange) {
-                     return exchange.state == State::kInWork &&
-                            exchange.answer_by <= now;
-                   });
+  const auto found = std::find_if(
+      this->exchanges.begin(), this->exchanges.end(),
+      [now](const CallerExchange& exchange) {
+        return exchange.state == State::kInWork && exchange.answer_by <= now;
+      });
   return found == this->exchanges.end() ? nullptr : &*found;
 }
 
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -137,10 +137,15 @@
 }
 
 void GatewayRouter::OnRequestArrived(caller::RequestArrived arrived) {
+  if (arrived.is_sent_ahead && this->MustBeFirst(arrived.request)) {
+    this->actions.emplace_back(
+        caller::ToCaller{arrived.slot, Result(), std::move(arrived.request)});
+    return;
+  }
   PendingRequest pending;
   pending.handle = ++this->last_handle;
   pending.slot = arrived.slot;
-  pending.arrived_at = this->now;
+  pending.arrived_at = std::min(arrived.arrived_at, this->now);
   auto refusal = this->Admit(pending, arrived);
   pending.request = std::move(arrived.request);
   const Handle handle = pending.handle;
@@ -157,6 +162,12 @@
   this->ScheduleRequest(stored, true);
 }
 
+bool GatewayRouter::MustBeFirst(const Request& request) const {
+  if (!this->tables.desired) return false;
+  const Route* route = this->routes.Find(request.host, request.target);
+  return route != nullptr && !IsIdempotent(route->repeatability);
+}
+
 std::optional<Refusal> GatewayRouter::Admit(
     PendingRequest& pending, const caller::RequestArrived& arrived) {
   const Request& request = arrived.request;
@@ -177,9 +188,14 @@
   pending.repeatability = route->repeatability;
   pending.priority = route->priority;
   pending.max_attempts = route->max_attempts;
-  pending.soft_deadline = this->now + route->latency_target;
+  pending.soft_deadline = pending.arrived_at + route->latency_target;
   pending.hard_deadline =
-      std::min(request.deadline, this->now + route->timeout);
+      std::min(request.deadline, pending.arrived_at + route->timeout);
+  if (this->now >= pending.hard_deadline) {
+    return Refusal{Ending::kNotRun, Reason::kDeadlinePassed,
+                   "the request waited too long behind others",
+                   kNoOwnerRetryAfter};
+  }
   const std::size_t share =
       route->shares.size() == 1
           ? 0
--- a/unittests/daemon/gateway_router_test.cc
+++ b/unittests/daemon/gateway_router_test.cc
@@ -142,6 +142,49 @@
   std::vector<RequestEvent> events;
 };
 
+SCENARIO("a request that was sent ahead runs twice or gets more time") {
+  Fixture fixture;
+  fixture.Publish();
+  const auto send_ahead = [&fixture](const std::string& target,
+                                     MonotonicTime arrived_at) {
+    Request request;
+    request.id = RequestId("ahead");
+    request.host = "site.example";
+    request.target = target;
+    request.key = "17";
+    request.method = "GET";
+    request.deadline = arrived_at + milliseconds(5'000);
+    request.body = std::make_shared<const std::string>();
+    fixture.Collect(fixture.router.OnCallerMessage(
+        caller::RequestArrived{caller::CallerSlot{9}, std::move(request),
+                               arrived_at, true},
+        fixture.now));
+  };
+
+  SECTION("one whose route forbids a repeat is given back, not started") {
+    send_ahead("/pay/1", fixture.now);
+    CHECK(fixture.dispatches.empty());
+    REQUIRE(fixture.answers.size() == 1);
+    REQUIRE(fixture.answers[0].returned.has_value());
+    CHECK(fixture.answers[0].returned->target == "/pay/1");
+    CHECK(fixture.router.IsIdle());
+  }
+  SECTION(
+      "one that may be repeated starts, and its time-out counts from its "
+      "arrival") {
+    send_ahead("/read/1", fixture.now - milliseconds(300));
+    REQUIRE(fixture.dispatches.size() == 1);
+    CHECK(fixture.dispatches[0].finish_before ==
+          fixture.now + milliseconds(500));
+  }
+  SECTION("one that waited unread past its time-out is refused as not run") {
+    send_ahead("/read/1", fixture.now - milliseconds(900));
+    CHECK(fixture.dispatches.empty());
+    REQUIRE(fixture.answers.size() == 1);
+    CHECK(fixture.answers[0].result.error().ending == Ending::kNotRun);
+  }
+}
+
 SCENARIO("a request is routed against the desired state") {
   Fixture fixture;
 
