upstream, daemon: heed upstreams that leave or ask for time

Cause: an upstream says in its answers that it leaves, and may ask for time with a 503.

Change: DecodeNotice turns the two headers into a typed notice of the upstream's run; an answer of another upstream at the address says nothing. - A run that leaves gets no new requests and counts as draining whatever the registry says, until another run has its id (LeavingUpstreams, used by the load balancer and by the registry). Requests that cannot wait are refused at once with a Retry-After that is not shorter. The concurrency limit is not lowered as well. The load balancer now sums the load of other daemons when a report comes or becomes too old, and keeps the candidates of each service, so that a choice does not walk all upstreams and all reports. Its choices are the same.

Not done: the planner does not count a paused upstream as short of room; notices in the answers to grants and releases are not read.

--- a/include/bamboorack/core/upstream_registry.h
+++ b/include/bamboorack/core/upstream_registry.h
@@ -8,21 +8,12 @@
 #include <vector>
 
 #include "bamboorack/core/ids.h"
+#include "bamboorack/core/leaving_upstreams.h"
 #include "bamboorack/core/time.h"
+#include "bamboorack/core/upstream_run.h"
 
 namespace bamboorack {
 
-/// Tells two runs of an upstream under the same id apart.
-using UpstreamLife = Number<struct UpstreamLifeTag>;
-
-/// One run of an upstream. Only this run holds what was granted to it.
-struct UpstreamRun {
-  UpstreamId id;
-  UpstreamLife life;
-
-  auto operator<=>(const UpstreamRun&) const = default;
-};
-
 /// What an upstream says of itself in the platform's registry.
 struct RegisteredUpstream {
   UpstreamRun run;
@@ -62,6 +53,9 @@
   /// Takes the whole registry.
   void Replace(const std::vector<RegisteredUpstream>& entries,
                MonotonicTime now);
+  /// Takes an upstream's word that this run leaves. From then on its entry is
+  /// a draining one, whatever the registry says.
+  void MarkLeaving(const UpstreamRun& run);
   /// Tells that the registry answered this daemon or another one. Called
   /// before what it answered is taken.
   void NoteContact(MonotonicTime now);
@@ -83,6 +77,7 @@
   void MarkMissing(Row& row, MonotonicTime now);
 
   std::map<UpstreamId, Row> rows;
+  LeavingUpstreams leaving;
   std::optional<MonotonicTime> last_contact;
   /// When the registry answered again after the last outage.
   std::optional<MonotonicTime> returned_at;
--- a/include/bamboorack/daemon/gateway_router.h
+++ b/include/bamboorack/daemon/gateway_router.h
@@ -97,6 +97,8 @@
     QueueKey queue_key;
     DispatchId dispatch;
     UpstreamId upstream;
+    /// The run that the last attempt was sent to.
+    UpstreamLife upstream_life;
     MonotonicTime sent_at;
     /// The upstream had no free slot when the request was sent, so the latency
     /// includes queueing time there.
@@ -132,6 +134,21 @@
   void Send(PendingRequest& pending, const UpstreamId& upstream);
   void RemoveFromQueue(PendingRequest& pending);
 
+  /// Applies what an upstream said of itself in its answer to `pending`.
+  void ApplyNotice(const PendingRequest& pending,
+                   const upstream::UpstreamNotice& notice);
+  void PauseUpstream(const PendingRequest& pending,
+                     std::chrono::milliseconds requested);
+  /// Makes this daemon and the others stop using a run that leaves.
+  void MarkLeaving(const UpstreamRun& run);
+  /// Refuses a request whose upstreams want none before `paused_until`, if it
+  /// cannot wait for that. Returns whether it did.
+  bool RefuseIfPausedTooLong(PendingRequest& pending,
+                             MonotonicTime paused_until);
+  /// Returns a Retry-After of at least `wait`.
+  std::chrono::milliseconds RetryAfterPause(
+      const PendingRequest& pending, std::chrono::nanoseconds wait) const;
+
   void Retry(PendingRequest& pending, const Refusal& refusal);
   bool MayRetry(const PendingRequest& pending, const Refusal& refusal);
   void Finish(PendingRequest& pending, Result result);
@@ -167,6 +184,8 @@
   std::set<Handle> unowned;
   std::map<ServiceName, std::vector<ShardKey>> key_demand;
   std::map<DaemonId, MonotonicTime> peer_reported_at;
+  /// Runs that said that they leave, and until when the others are told.
+  std::map<UpstreamRun, MonotonicTime> departures;
   Handle last_handle = 0;
   std::uint64_t last_dispatch_id = 0;
   MonotonicTime next_expiry_check;
--- a/include/bamboorack/daemon/ownership_controller.h
+++ b/include/bamboorack/daemon/ownership_controller.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -94,6 +95,8 @@
   void OnDaemonsRead(const tl::expected<log_service::KeyedRecords,
                                         log_service::ReadFailure>& read);
   void OnLoadReport(const peer::LoadReport& report);
+  /// Applies that runs of upstreams said that they leave.
+  void MarkDepartures(const std::vector<peer::UpstreamDeparture>& departures);
   void OnLeaderBeat(const peer::LeaderBeat& beat);
   void OnRecordRelay(const peer::RecordRelay& relay);
   /// Relays an update read from the log to the other daemons. Does nothing
@@ -148,6 +151,7 @@
       upstream::RangeLeadership::Role::kFollower;
   std::map<ServiceName, upstream::KeyLoad> key_loads;
   std::map<peer::UpstreamHash, std::map<DaemonId, double>> latency_ratios;
+  std::set<peer::UpstreamDeparture> known_departures;
   bool has_new_tables = false;
 
   bool is_store_busy = false;
--- a/include/bamboorack/peer/gossip.h
+++ b/include/bamboorack/peer/gossip.h
@@ -36,6 +36,14 @@
   std::vector<ShardKey> keys;
 };
 
+/// A run of an upstream that said that it leaves.
+struct UpstreamDeparture {
+  UpstreamHash upstream;
+  UpstreamLife life;
+
+  auto operator<=>(const UpstreamDeparture&) const = default;
+};
+
 /// Tells the other daemons how busy a daemon keeps the upstreams, so that each
 /// sees the work of all.
 struct LoadReport {
@@ -45,6 +53,7 @@
   /// How long ago the platform's log last answered the sender; nothing if it
   /// never did.
   std::optional<std::chrono::milliseconds> log_contact_age{};
+  std::vector<UpstreamDeparture> departures{};
 };
 
 /// A former leader's word that it sends no more orders.
--- a/include/bamboorack/upstream/load_balancer.h
+++ b/include/bamboorack/upstream/load_balancer.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "bamboorack/core/ids.h"
+#include "bamboorack/core/leaving_upstreams.h"
 #include "bamboorack/core/time.h"
 #include "bamboorack/core/upstream_registry.h"
 
@@ -41,6 +42,8 @@
 ///   upstream is at its limit, the daemons send one request each in turns.
 /// - An upstream refuses, fails or becomes slow: it gets fewer requests, but a
 ///   service always keeps some upstreams in use.
+/// - An upstream says that it leaves, or asks for time: it gets no requests,
+///   and those that cannot wait are not kept for it.
 /// - A service is at its limit: requests queue in the daemons, which can order
 ///   them by priority, and not at the upstreams.
 class LoadBalancer {
@@ -63,6 +66,22 @@
                std::chrono::nanoseconds latency,
                std::chrono::nanoseconds mean_latency, MonotonicTime now);
 
+  /// Takes the word of a run that it leaves. It gets no new requests from now
+  /// on, whatever the registry says. Returns whether this is new.
+  bool MarkLeaving(const UpstreamRun& run, MonotonicTime now);
+  /// The upstream asked for no requests until `until`. Forgotten with its run.
+  void Pause(const UpstreamId& id, MonotonicTime until);
+  /// Returns until when the upstream wants no requests; not after `now` if it
+  /// wants some.
+  MonotonicTime PausedUntil(const UpstreamId& id) const;
+  /// Returns when the first upstream of a service wants requests again, or
+  /// nothing if one of them wants some.
+  std::optional<MonotonicTime> ServicePausedUntil(const ServiceName& service,
+                                                  MonotonicTime now) const;
+
+  /// Returns what the registry says of an upstream that it lists or that has
+  /// requests in flight, or null.
+  const RegisteredUpstream* Entry(const UpstreamId& id) const;
   /// Returns the entry of an upstream that may get new requests, or null.
   const RegisteredUpstream* Find(const UpstreamId& id) const;
   /// Whether the upstream may get requests for keys that it holds. A draining
@@ -70,10 +89,10 @@
   /// moved.
   bool MayServeKeys(const UpstreamId& id, MonotonicTime now) const;
   /// Whether this daemon may send one more request to the upstream now.
-  bool HasCapacity(const UpstreamId& id, MonotonicTime now) const;
+  bool HasCapacity(const UpstreamId& id, MonotonicTime now);
   /// Whether all slots of the upstream are taken, so that a request sent now
   /// would queue there.
-  bool IsContended(const UpstreamId& id, MonotonicTime now) const;
+  bool IsContended(const UpstreamId& id, MonotonicTime now);
   /// Returns the best upstream of a service that is below its limit, or
   /// nothing. Skips `tried`.
   std::optional<UpstreamId> Choose(const ServiceName& service,
@@ -109,7 +128,10 @@
     /// Set while the upstream is draining or no longer listed.
     std::optional<MonotonicTime> draining_since;
     std::uint32_t in_flight = 0;
+    /// Sum over the load reports that are in use.
+    std::uint32_t peer_in_flight = 0;
     MonotonicTime last_sent;
+    MonotonicTime paused_until;
     /// Smoothed latency; 0 before the first answer.
     std::chrono::nanoseconds latency{0};
     /// Smoothed; 0 before the first answer.
@@ -126,25 +148,44 @@
     MonotonicTime next_probe;
   };
 
+  /// The last load report of another daemon.
   struct PeerLoad {
     std::map<UpstreamId, std::uint32_t> in_flight;
     MonotonicTime at;
   };
 
-  double TotalInFlight(const UpstreamState& state, MonotonicTime now) const;
-  std::size_t ActivePeers(MonotonicTime now) const;
+  static double TotalInFlight(const UpstreamState& state);
+  /// Adds a report to the sums of the upstreams, or takes it back.
+  void AddPeerLoad(const PeerLoad& load);
+  void SubtractPeerLoad(const PeerLoad& load);
+  /// Takes back the reports that have become too old.
+  void DropOldReports(MonotonicTime now);
+  void IndexByService();
+  bool HasCapacity(const UpstreamState& state, MonotonicTime now) const;
   /// Returns a number from 1 to 1 + `kScoreJitter`.
   double DrawJitter();
   double LimitOf(const UpstreamState& state, MonotonicTime now) const;
-  double Score(const UpstreamState& state, MonotonicTime now) const;
+  double Score(const UpstreamState& state) const;
   void LowerLimit(UpstreamState& state, MonotonicTime now);
   void Eject(UpstreamState& state, MonotonicTime now);
-  double EjectedShare(const ServiceName& service, MonotonicTime now) const;
+  double EjectedShare(const std::vector<UpstreamState*>& candidates,
+                      MonotonicTime now) const;
 
   const FailureDomain domain;
   std::uint64_t random_state;
   std::map<UpstreamId, UpstreamState> states;
+  /// The upstreams of each service that are not draining, so that a choice
+  /// does not walk those of other services. Points into `states`.
+  std::map<ServiceName, std::vector<UpstreamState*>> by_service;
+  LeavingUpstreams leaving;
+  /// Reports that are not too old. The cost of a choice must not grow with
+  /// their number, so they are summed up when they come and go.
   std::map<DaemonId, PeerLoad> peers;
+  /// No report becomes too old before this time.
+  MonotonicTime next_report_expiry = MonotonicTime::max();
+  /// No upstream is ejected or paused after these times.
+  MonotonicTime last_ejection_end;
+  MonotonicTime last_pause_end;
 };
 
 }  // namespace bamboorack::upstream
--- a/include/bamboorack/upstream/messages.h
+++ b/include/bamboorack/upstream/messages.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <tl/expected.hpp>
 #include <variant>
@@ -210,12 +211,24 @@
 /// Messages to the upstream thread.
 using ToUpstream = std::variant<Dispatch, CancelDispatch, ControlCall>;
 
+/// What an upstream says of itself beside its answer.
+struct UpstreamNotice {
+  /// It leaves and wants no new requests.
+  bool is_leaving = false;
+  /// It turned the request away and wants no other from this daemon for this
+  /// time.
+  std::optional<std::chrono::milliseconds> retry_after{};
+  /// It asked for a time that is no positive number of seconds.
+  bool is_retry_after_invalid = false;
+};
+
 /// The outcome of a dispatch. The ending is `kNotRun` only if nothing was
 /// written to the connection or the upstream reported that it did not run the
 /// request.
 struct DispatchResult {
   DispatchId id;
   Result result;
+  UpstreamNotice notice{};
 };
 
 /// Messages from the upstream thread to the routing thread: the outcomes of
--- a/include/bamboorack/upstream/upstream_protocol.h
+++ b/include/bamboorack/upstream/upstream_protocol.h
@@ -38,6 +38,12 @@
   /// Returns whether an answer with this head may belong to `request`.
   virtual bool IsAnswerTo(const AnswerHead& head,
                           const RequestId& request) const = 0;
+  /// Returns what the head of an answer says of `upstream`. An answer of
+  /// another upstream at its address says nothing.
+  virtual UpstreamNotice DecodeNotice(const UpstreamId& /*upstream*/,
+                                      const AnswerHead& /*head*/) const {
+    return {};
+  }
   virtual Result DecodeDispatchAnswer(const Dispatch& dispatch, AnswerHead head,
                                       Body body) const = 0;
   virtual tl::expected<ControlAnswer, ControlError> DecodeControlAnswer(
--- a/lib/core/upstream_registry.cc
+++ b/lib/core/upstream_registry.cc
@@ -37,6 +37,10 @@
   }
 }
 
+void UpstreamRegistry::MarkLeaving(const UpstreamRun& run) {
+  this->has_changed |= this->leaving.Add(run);
+}
+
 void UpstreamRegistry::NoteContact(MonotonicTime now) {
   const bool was_out =
       this->last_contact && now - *this->last_contact >= kShortestOutage;
@@ -64,7 +68,10 @@
 std::vector<RegisteredUpstream> UpstreamRegistry::Entries() const {
   std::vector<RegisteredUpstream> entries;
   entries.reserve(this->rows.size());
-  for (const auto& [id, row] : this->rows) entries.push_back(row.entry);
+  for (const auto& [id, row] : this->rows) {
+    RegisteredUpstream& entry = entries.emplace_back(row.entry);
+    entry.is_draining |= this->leaving.Contains(entry.run);
+  }
   return entries;
 }
 
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -132,6 +132,11 @@
     if (found != this->by_hash.end()) in_flight[found->second] = load.in_flight;
   }
   this->load_balancer.SetPeerLoad(report.sender, in_flight, time);
+  for (const peer::UpstreamDeparture& departure : report.departures) {
+    const auto found = this->by_hash.find(departure.upstream);
+    if (found == this->by_hash.end()) continue;
+    this->MarkLeaving({found->second, departure.life});
+  }
   this->DrainAllQueues();
   return this->TakeActions();
 }
@@ -236,6 +241,9 @@
     this->WaitForOwner(pending);
     return;
   }
+  const MonotonicTime paused_until = this->load_balancer.PausedUntil(owner->id);
+  if (this->RefuseIfPausedTooLong(pending, paused_until)) return;
+  pending.not_before = std::max(pending.not_before, paused_until);
   // An ejected upstream gets probe requests only; all others are refused
   // instead of being queued for an upstream that does not answer.
   const UpstreamId id = owner->id;
@@ -267,6 +275,13 @@
       return;
     }
   }
+  if (key.upstream.IsEmpty()) {
+    const auto paused_until =
+        this->load_balancer.ServicePausedUntil(key.service, this->now);
+    if (paused_until && this->RefuseIfPausedTooLong(pending, *paused_until)) {
+      return;
+    }
+  }
   const nanoseconds average_latency = this->AverageLatency(pending.route);
   // Some requests take less time than the average, so half of it is enough to
   // try before the deadline. For the latency target a margin of a quarter is
@@ -318,8 +333,9 @@
   upstream::Dispatch dispatch;
   dispatch.id = pending.dispatch;
   dispatch.upstream = {id, UpstreamInstance(id.value)};
-  for (const RegisteredUpstream& entry : *this->tables.upstreams) {
-    if (entry.run.id == id) dispatch.endpoint = entry.endpoint;
+  if (const auto* entry = this->load_balancer.Entry(id)) {
+    dispatch.endpoint = entry->endpoint;
+    pending.upstream_life = entry->run.life;
   }
   dispatch.send_before = pending.hard_deadline;
   dispatch.finish_before = pending.hard_deadline;
@@ -414,9 +430,13 @@
   const QueueKey upstream_queue{service, upstream};
   const QueueKey service_queue{service, UpstreamId()};
   const nanoseconds latency = this->now - pending.sent_at;
-  const UpstreamOutcome outcome = pending.is_caller_gone
-                                      ? UpstreamOutcome::kNeutral
-                                      : OutcomeOf(result.result);
+  this->ApplyNotice(pending, result.notice);
+  // An upstream that asked for time gets none of the requests that a lower
+  // limit would keep from it.
+  const bool is_neutral =
+      pending.is_caller_gone || result.notice.retry_after.has_value();
+  const UpstreamOutcome outcome =
+      is_neutral ? UpstreamOutcome::kNeutral : OutcomeOf(result.result);
   // Only requests that were sent to a free slot measure the speed of an
   // upstream.
   const nanoseconds average_latency = pending.is_contended
@@ -508,12 +528,18 @@
     if (!keys.empty()) report.demands.push_back({service, std::move(keys)});
   }
   this->key_demand.clear();
+  std::erase_if(this->departures,
+                [this](const auto& item) { return this->now >= item.second; });
+  for (const auto& [run, until] : this->departures) {
+    report.departures.push_back({peer::HashOf(run.id), run.life});
+  }
   if (this->tables.upstreams_read_at != MonotonicTime{}) {
     report.log_contact_age = std::max(
         milliseconds(0), std::chrono::duration_cast<milliseconds>(
                              this->now - this->tables.upstreams_read_at));
   }
-  const bool has_load = !report.upstreams.empty() || !report.demands.empty();
+  const bool has_load = !report.upstreams.empty() || !report.demands.empty() ||
+                        !report.departures.empty();
   // A daemon without load still reports at a lower rate, so that the leader
   // knows it and sends it the owners.
   if (!has_load && !this->had_load && this->now < this->next_keepalive) return;
--- a/lib/daemon/gateway_router_endings.cc
+++ b/lib/daemon/gateway_router_endings.cc
@@ -30,7 +30,12 @@
   if (refusal.reason == Reason::kCancelled) return false;
   if (refusal.reason == Reason::kStopping) return false;
   const nanoseconds needed = this->AverageLatency(pending.route) / 2;
-  if (this->now + needed >= pending.hard_deadline) return false;
+  const MonotonicTime start =
+      pending.is_sharded
+          ? std::max(this->now,
+                     this->load_balancer.PausedUntil(pending.upstream))
+          : this->now;
+  if (start + needed >= pending.hard_deadline) return false;
   if (this->budgets.at(pending.service).TryTake()) return true;
   this->metrics.Count("retry_budget_empty");
   return false;
@@ -67,6 +72,13 @@
           queue == this->queues.end()
               ? nanoseconds(0)
               : queue->second.ExpectedWait(pending.priority, this->now));
+      const MonotonicTime paused_until =
+          this->load_balancer.PausedUntil(key.upstream);
+      if (paused_until > this->now) {
+        refusal.retry_after =
+            std::max(*refusal.retry_after,
+                     this->RetryAfterPause(pending, paused_until - this->now));
+      }
     }
     this->LogRequest(pending, EventKind::kRequestTrouble,
                      refusal.ending == Ending::kNotRun ? "refused" : "failed",
--- a/lib/daemon/ownership_controller.cc
+++ b/lib/daemon/ownership_controller.cc
@@ -21,6 +21,7 @@
 constexpr milliseconds kUnreachableTimeout{700};
 // Older load reports do not reflect the current state.
 constexpr seconds kMaxReportAge{1};
+constexpr std::size_t kMaxKnownDepartures = 8'192;
 constexpr double kMinRelativeSpeed = 0.25;
 constexpr double kMaxRelativeSpeed = 2.5;
 
@@ -103,6 +104,7 @@
     if (load.latency_ratio <= 0) continue;
     this->latency_ratios[load.upstream][report.sender] = load.latency_ratio;
   }
+  this->MarkDepartures(report.departures);
   if (this->leadership.GetRole() != RangeLeadership::Role::kLeader) return;
   for (const peer::KeyDemand& demand : report.demands) {
     upstream::KeyLoad& load = this->key_loads[demand.service];
@@ -110,6 +112,30 @@
   }
 }
 
+void OwnershipController::MarkDepartures(
+    const std::vector<peer::UpstreamDeparture>& departures) {
+  // Forgotten ones only cost another search.
+  if (this->known_departures.size() > kMaxKnownDepartures) {
+    this->known_departures.clear();
+  }
+  for (const peer::UpstreamDeparture& departure : departures) {
+    // Every daemon repeats it, and each one is looked for among all upstreams.
+    if (this->known_departures.contains(departure)) continue;
+    for (const RegisteredUpstream& entry : this->registry.Entries()) {
+      const bool is_match = peer::HashOf(entry.run.id) == departure.upstream &&
+                            entry.run.life == departure.life;
+      if (!is_match) continue;
+      this->known_departures.insert(departure);
+      this->registry.MarkLeaving(entry.run);
+      this->LogEvent(
+          EventKind::kBelief, "upstream_leaving",
+          {{"upstream", entry.run.id.value},
+           {"life", TextOf(entry.run.life)},
+           {"registry_says_draining", entry.is_draining ? "true" : "false"}});
+    }
+  }
+}
+
 void OwnershipController::OnLeaderBeat(const peer::LeaderBeat& beat) {
   if (beat.lapsed) {
     const bool is_new = !this->lease_statement ||
--- a/lib/peer/gossip_codec.cc
+++ b/lib/peer/gossip_codec.cc
@@ -45,7 +45,14 @@
       report.log_contact_age
           ? static_cast<std::uint32_t>(report.log_contact_age->count())
           : kUnknownAge;
-  return gossip::CreateLoadReportDirect(builder, &loads, &demands, age).Union();
+  std::vector<gossip::UpstreamDeparture> departures;
+  departures.reserve(report.departures.size());
+  for (const UpstreamDeparture& departure : report.departures) {
+    departures.emplace_back(departure.upstream.value, departure.life.value);
+  }
+  return gossip::CreateLoadReportDirect(builder, &loads, &demands, age,
+                                        &departures)
+      .Union();
 }
 
 Offset<gossip::ServiceOwners> Encode(FlatBufferBuilder& builder,
@@ -135,6 +142,12 @@
            static_cast<double>(load->latency_permille()) / kPermille});
     }
   }
+  if (wire.departures() != nullptr) {
+    for (const gossip::UpstreamDeparture* departure : *wire.departures()) {
+      report.departures.push_back({UpstreamHash(departure->upstream()),
+                                   UpstreamLife(departure->life())});
+    }
+  }
   if (wire.demands() != nullptr) {
     for (const gossip::KeyDemand* demand : *wire.demands()) {
       KeyDemand& row = report.demands.emplace_back();
--- a/lib/upstream/exchange.cc
+++ b/lib/upstream/exchange.cc
@@ -96,10 +96,13 @@
   }
 
   void Succeed(AnswerHead head, Body body, ResultOutbox& outbox) override {
+    const UpstreamNotice notice =
+        this->protocol.DecodeNotice(this->dispatch.upstream.id, head);
     outbox.Add(
         DispatchResult{this->dispatch.id,
                        this->protocol.DecodeDispatchAnswer(
-                           this->dispatch, std::move(head), std::move(body))});
+                           this->dispatch, std::move(head), std::move(body)),
+                       notice});
   }
 
   void Fail(Failure failure, bool was_written, ResultOutbox& outbox) override {
--- a/lib/upstream/load_balancer.cc
+++ b/lib/upstream/load_balancer.cc
@@ -48,14 +48,20 @@
     listed.insert(entry.run.id);
     UpstreamState& state = this->states[entry.run.id];
     const bool is_new = state.entry.run != entry.run;
-    const std::uint32_t in_flight = state.in_flight;
     if (is_new) {
+      const std::uint32_t in_flight = state.in_flight;
       state = UpstreamState{};
       state.in_flight = in_flight;
+      for (const auto& [peer, load] : this->peers) {
+        const auto reported = load.in_flight.find(entry.run.id);
+        if (reported == load.in_flight.end()) continue;
+        state.peer_in_flight += reported->second;
+      }
       state.limit = entry.slots + kMaxQueuedAtUpstream;
       state.limit_updated = now;
     }
     state.entry = entry;
+    state.entry.is_draining |= this->leaving.Contains(entry.run);
   }
   std::erase_if(this->states, [&listed](const auto& item) {
     return !listed.contains(item.first) && item.second.in_flight == 0;
@@ -67,12 +73,105 @@
     if (state.entry.is_draining && !state.draining_since)
       state.draining_since = now;
   }
+  this->IndexByService();
+}
+
+void LoadBalancer::IndexByService() {
+  this->by_service.clear();
+  for (auto& [id, state] : this->states) {
+    if (state.entry.is_draining) continue;
+    this->by_service[state.entry.service].push_back(&state);
+  }
+}
+
+bool LoadBalancer::MarkLeaving(const UpstreamRun& run, MonotonicTime now) {
+  if (!this->leaving.Add(run)) return false;
+  const auto found = this->states.find(run.id);
+  if (found == this->states.end() || found->second.entry.run != run) {
+    return true;
+  }
+  UpstreamState& state = found->second;
+  state.entry.is_draining = true;
+  if (!state.draining_since) state.draining_since = now;
+  this->IndexByService();
+  return true;
+}
+
+void LoadBalancer::Pause(const UpstreamId& id, MonotonicTime until) {
+  const auto found = this->states.find(id);
+  if (found == this->states.end()) return;
+  MonotonicTime& paused_until = found->second.paused_until;
+  paused_until = std::max(paused_until, until);
+  this->last_pause_end = std::max(this->last_pause_end, until);
+}
+
+MonotonicTime LoadBalancer::PausedUntil(const UpstreamId& id) const {
+  const auto found = this->states.find(id);
+  return found == this->states.end() ? MonotonicTime{}
+                                     : found->second.paused_until;
+}
+
+std::optional<MonotonicTime> LoadBalancer::ServicePausedUntil(
+    const ServiceName& service, MonotonicTime now) const {
+  if (now >= this->last_pause_end) return std::nullopt;
+  const auto candidates = this->by_service.find(service);
+  if (candidates == this->by_service.end()) return std::nullopt;
+  MonotonicTime first_end = MonotonicTime::max();
+  for (const UpstreamState* state : candidates->second) {
+    if (!state->is_replaced) {
+      first_end = std::min(first_end, state->paused_until);
+    }
+  }
+  if (first_end <= now || first_end == MonotonicTime::max()) {
+    return std::nullopt;
+  }
+  return first_end;
+}
+
+const RegisteredUpstream* LoadBalancer::Entry(const UpstreamId& id) const {
+  const auto found = this->states.find(id);
+  return found == this->states.end() ? nullptr : &found->second.entry;
 }
 
 void LoadBalancer::SetPeerLoad(
     const DaemonId& peer, const std::map<UpstreamId, std::uint32_t>& in_flight,
     MonotonicTime now) {
-  this->peers[peer] = {in_flight, now};
+  this->DropOldReports(now);
+  PeerLoad& load = this->peers[peer];
+  this->SubtractPeerLoad(load);
+  load = {in_flight, now};
+  this->AddPeerLoad(load);
+  this->next_report_expiry =
+      std::min(this->next_report_expiry, now + kMaxReportAge);
+}
+
+void LoadBalancer::AddPeerLoad(const PeerLoad& load) {
+  for (const auto& [id, in_flight] : load.in_flight) {
+    const auto found = this->states.find(id);
+    if (found != this->states.end()) found->second.peer_in_flight += in_flight;
+  }
+}
+
+void LoadBalancer::SubtractPeerLoad(const PeerLoad& load) {
+  for (const auto& [id, in_flight] : load.in_flight) {
+    const auto found = this->states.find(id);
+    if (found != this->states.end()) found->second.peer_in_flight -= in_flight;
+  }
+}
+
+void LoadBalancer::DropOldReports(MonotonicTime now) {
+  if (now <= this->next_report_expiry) return;
+  this->next_report_expiry = MonotonicTime::max();
+  for (auto peer = this->peers.begin(); peer != this->peers.end();) {
+    const MonotonicTime expiry = peer->second.at + kMaxReportAge;
+    if (now > expiry) {
+      this->SubtractPeerLoad(peer->second);
+      peer = this->peers.erase(peer);
+      continue;
+    }
+    this->next_report_expiry = std::min(this->next_report_expiry, expiry);
+    ++peer;
+  }
 }
 
 void LoadBalancer::OnSent(const UpstreamId& id, MonotonicTime now) {
@@ -130,7 +229,8 @@
 }
 
 void LoadBalancer::LowerLimit(UpstreamState& state, MonotonicTime now) {
-  const double total_in_flight = this->TotalInFlight(state, now) + 1;
+  this->DropOldReports(now);
+  const double total_in_flight = TotalInFlight(state) + 1;
   // A refusal while slots are free has another cause, which a lower limit would
   // not remove.
   if (total_in_flight <= state.entry.slots) return;
@@ -147,29 +247,22 @@
       now + kFirstEjectionTime *
                 (1 << std::min(state.ejections, kMaxEjectionDoublings));
   ++state.ejections;
+  this->last_ejection_end =
+      std::max(this->last_ejection_end, state.ejected_until);
 }
 
-double LoadBalancer::EjectedShare(const ServiceName& service,
+double LoadBalancer::EjectedShare(const std::vector<UpstreamState*>& candidates,
                                   MonotonicTime now) const {
-  double all = 0;
-  double ejected = 0;
-  for (const auto& [id, state] : this->states) {
-    if (state.entry.service != service || state.entry.is_draining) continue;
-    ++all;
-    if (now < state.ejected_until) ++ejected;
-  }
-  return all == 0 ? 0 : ejected / all;
+  if (now >= this->last_ejection_end || candidates.empty()) return 0;
+  const auto ejected = std::count_if(
+      candidates.begin(), candidates.end(),
+      [now](const UpstreamState* state) { return now < state->ejected_until; });
+  return static_cast<double>(ejected) / static_cast<double>(candidates.size());
 }
 
-double LoadBalancer::TotalInFlight(const UpstreamState& state,
-                                   MonotonicTime now) const {
-  double total_in_flight = state.in_flight;
-  for (const auto& [peer, load] : this->peers) {
-    if (now - load.at > kMaxReportAge) continue;
-    const auto found = load.in_flight.find(state.entry.run.id);
-    if (found != load.in_flight.end()) total_in_flight += found->second;
-  }
-  return total_in_flight;
+double LoadBalancer::TotalInFlight(const UpstreamState& state) {
+  return static_cast<double>(state.in_flight) +
+         static_cast<double>(state.peer_in_flight);
 }
 
 double LoadBalancer::LimitOf(const UpstreamState& state,
@@ -179,11 +272,10 @@
   return std::min(grown, state.entry.slots + kMaxQueuedAtUpstream);
 }
 
-double LoadBalancer::Score(const UpstreamState& state,
-                           MonotonicTime now) const {
+double LoadBalancer::Score(const UpstreamState& state) const {
   const double ratio = state.latency_ratio == 0 ? 1 : state.latency_ratio;
   const double slots = state.entry.slots;
-  const double total_in_flight = this->TotalInFlight(state, now);
+  const double total_in_flight = TotalInFlight(state);
   // Up to its slots the latency does not depend on the load; above, requests
   // queue.
   const double queueing = std::max(1.0, (total_in_flight + 1) / slots);
@@ -212,26 +304,24 @@
   return !since || now - *since < kDrainGracePeriod;
 }
 
-bool LoadBalancer::HasCapacity(const UpstreamId& id, MonotonicTime now) const {
+bool LoadBalancer::HasCapacity(const UpstreamId& id, MonotonicTime now) {
+  this->DropOldReports(now);
   const auto found = this->states.find(id);
-  if (found == this->states.end()) return false;
-  const UpstreamState& state = found->second;
+  return found != this->states.end() && this->HasCapacity(found->second, now);
+}
+
+bool LoadBalancer::HasCapacity(const UpstreamState& state,
+                               MonotonicTime now) const {
+  if (now < state.paused_until) return false;
   const double limit = this->LimitOf(state, now);
-  const auto daemons = static_cast<double>(this->ActivePeers(now) + 1);
-  if (this->TotalInFlight(state, now) + 1 <= limit) return true;
+  const auto daemons = static_cast<double>(this->peers.size() + 1);
+  if (TotalInFlight(state) + 1 <= limit) return true;
   // At the limit, the daemons without a request there take turns.
   if (state.in_flight > 0) return false;
   const Seconds turn_interval = Seconds(state.latency) * daemons / limit;
   return now - state.last_sent >= turn_interval;
 }
 
-std::size_t LoadBalancer::ActivePeers(MonotonicTime now) const {
-  return static_cast<std::size_t>(std::count_if(
-      this->peers.begin(), this->peers.end(), [now](const auto& item) {
-        return now - item.second.at <= kMaxReportAge;
-      }));
-}
-
 double LoadBalancer::DrawJitter() {
   // xorshift64 is random enough to decorrelate the daemons.
   this->random_state ^= this->random_state << 13U;
@@ -242,27 +332,30 @@
                  kSteps;
 }
 
-bool LoadBalancer::IsContended(const UpstreamId& id, MonotonicTime now) const {
+bool LoadBalancer::IsContended(const UpstreamId& id, MonotonicTime now) {
+  this->DropOldReports(now);
   const auto found = this->states.find(id);
   return found != this->states.end() &&
-         this->TotalInFlight(found->second, now) >= found->second.entry.slots;
+         TotalInFlight(found->second) >= found->second.entry.slots;
 }
 
 std::optional<UpstreamId> LoadBalancer::Choose(
     const ServiceName& service, const std::set<UpstreamId>& tried,
     MonotonicTime now) {
+  this->DropOldReports(now);
+  const auto candidates = this->by_service.find(service);
+  if (candidates == this->by_service.end()) return std::nullopt;
   const bool ignores_ejections =
-      this->EjectedShare(service, now) > kMaxEjectedShare;
+      this->EjectedShare(candidates->second, now) > kMaxEjectedShare;
   const UpstreamState* best = nullptr;
   double best_score = 0;
-  for (const auto& [id, state] : this->states) {
-    if (state.entry.service != service || state.entry.is_draining) continue;
-    if (tried.contains(id) || state.is_replaced) continue;
-    if (!ignores_ejections && now < state.ejected_until) continue;
-    if (!this->HasCapacity(id, now)) continue;
-    const double score = this->Score(state, now) * this->DrawJitter();
+  for (const UpstreamState* state : candidates->second) {
+    if (state->is_replaced || tried.contains(state->entry.run.id)) continue;
+    if (!ignores_ejections && now < state->ejected_until) continue;
+    if (!this->HasCapacity(*state, now)) continue;
+    const double score = this->Score(*state) * this->DrawJitter();
     if (best != nullptr && best_score <= score) continue;
-    best = &state;
+    best = state;
     best_score = score;
   }
   if (best == nullptr) return std::nullopt;
@@ -270,11 +363,7 @@
 }
 
 bool LoadBalancer::HasActiveUpstream(const ServiceName& service) const {
-  return std::any_of(this->states.begin(), this->states.end(),
-                     [&service](const auto& item) {
-                       return item.second.entry.service == service &&
-                              !item.second.entry.is_draining;
-                     });
+  return this->by_service.contains(service);
 }
 
 std::uint32_t LoadBalancer::OwnInFlight(const UpstreamId& id) const {
@@ -312,6 +401,7 @@
   const auto found = this->states.find(id);
   if (found == this->states.end() || found->second.is_replaced) return false;
   if (now < found->second.next_probe) return false;
+  if (now < found->second.paused_until) return false;
   found->second.next_probe = now + kProbeInterval;
   return true;
 }
--- a/unittests/core/upstream_registry_test.cc
+++ b/unittests/core/upstream_registry_test.cc
@@ -30,6 +30,25 @@
     CHECK(registry.Entries().size() == 1);
   }
 
+  SECTION("a run that said that it leaves is usable again") {
+    registry.MarkLeaving({UpstreamId("a"), UpstreamLife(1)});
+    CHECK(registry.Update(now));
+    const auto is_draining = [&registry] {
+      return registry.Entries().at(0).is_draining;
+    };
+    CHECK(is_draining());
+    registry.Set(UpstreamId("a"), Entry("a"), now);
+    CHECK(is_draining());
+    registry.Set(UpstreamId("a"), std::nullopt, now);
+    registry.Update(now);
+    registry.Set(UpstreamId("a"), Entry("a"), now);
+    CHECK(is_draining());
+    SECTION("but its next run is") {
+      registry.Set(UpstreamId("a"), Entry("a", 2), now);
+      CHECK_FALSE(is_draining());
+    }
+  }
+
   SECTION("after an outage entries have time to come back") {
     registry.NoteContact(now);
     now += seconds(3);
--- a/unittests/daemon/ownership_controller_test.cc
+++ b/unittests/daemon/ownership_controller_test.cc
@@ -205,6 +205,29 @@
   }
 }
 
+SCENARIO("a run that said that it leaves keeps its keys") {
+  Fixture fixture;
+  fixture.Update(Topic::kDesiredState, {{"state", "1"}});
+  fixture.Update(Topic::kUpstreams, {{"a", "reader"}, {"b", "reader"}});
+  peer::LoadReport report;
+  report.sender = DaemonId("d1");
+  report.departures = {{peer::HashOf(UpstreamId("a")), UpstreamLife(1)},
+                       {peer::HashOf(UpstreamId("b")), UpstreamLife(7)}};
+  fixture.Collect(
+      fixture.controller.OnGossip(peer::Gossip(report), fixture.now));
+  fixture.Collect(fixture.controller.Tick(fixture.now));
+  THEN("its entry is draining for all decisions, that of another run is not") {
+    REQUIRE(fixture.tables.upstreams->size() == 2);
+    CHECK(fixture.tables.upstreams->at(0).is_draining);
+    CHECK_FALSE(fixture.tables.upstreams->at(1).is_draining);
+  }
+  THEN("an older record of the registry does not undo it") {
+    fixture.Update(Topic::kUpstreams, {{"a", "reader"}, {"b", "reader"}});
+    fixture.Collect(fixture.controller.Tick(fixture.now));
+    CHECK(fixture.tables.upstreams->at(0).is_draining);
+  }
+}
+
 SCENARIO("a control call cannot be traced in the event log") {
   Fixture fixture;
   fixture.Update(Topic::kDesiredState, {{"state", "3"}});
--- a/unittests/peer/gossip_thread_test.cc
+++ b/unittests/peer/gossip_thread_test.cc
@@ -58,6 +58,11 @@
     CHECK(report.demands.at(0).keys ==
           std::vector<ShardKey>{ShardKey(5), ShardKey(65'535)});
     CHECK(report.log_contact_age == milliseconds(120));
+    LoadReport departing = MakeReport();
+    departing.departures = {{UpstreamHash(9), UpstreamLife(1'760'000'000'000)}};
+    const auto told = DecodeGossip(EncodeGossip(kSource, departing));
+    CHECK(std::get<LoadReport>(told->content).departures ==
+          departing.departures);
     LoadReport silent;
     const auto other = DecodeGossip(EncodeGossip(kSource, silent));
     CHECK_FALSE(
--- a/unittests/platform/protocol_test.cc
+++ b/unittests/platform/protocol_test.cc
@@ -135,6 +135,44 @@
   }
 }
 
+SCENARIO("an upstream's word about itself is missed or misread") {
+  const auto upstreams = MakeUpstreamProtocol();
+  const auto notice_of = [&](int status, std::vector<Header> headers) {
+    return upstreams->DecodeNotice(UpstreamId("i-1"),
+                                   AnswerOf(status, std::move(headers)));
+  };
+
+  SECTION("it leaves") {
+    CHECK(notice_of(200, {{"Server-Leaving", "1"}}).is_leaving);
+    CHECK(notice_of(503, {{"server-leaving", "1"}}).is_leaving);
+    CHECK_FALSE(notice_of(200, {}).is_leaving);
+    CHECK_FALSE(notice_of(200, {{"Server-Leaving", "0"}}).is_leaving);
+  }
+  SECTION("another upstream at its address says nothing about it") {
+    const Header leaving{"Server-Leaving", "1"};
+    CHECK_FALSE(notice_of(421, {leaving}).is_leaving);
+    CHECK_FALSE(notice_of(200, {leaving, {"X-Instance-Id", "i-2"}}).is_leaving);
+    CHECK(notice_of(421, {leaving, {"X-Instance-Id", "i-1"}}).is_leaving);
+  }
+  SECTION("it asks for time") {
+    CHECK(notice_of(503, {{"Retry-After", "2"}}).retry_after == seconds(2));
+    CHECK(notice_of(503, {{"Retry-After", "0.25"}}).retry_after ==
+          milliseconds(250));
+    CHECK_FALSE(notice_of(200, {{"Retry-After", "2"}}).retry_after);
+  }
+  SECTION("it asks for an absurd time") {
+    for (const char* text :
+         {"0", "-1", "", "soon", "1s", "nan", "1e999", "2 "}) {
+      const upstream::UpstreamNotice notice =
+          notice_of(503, {{"Retry-After", text}});
+      CHECK_FALSE(notice.retry_after.has_value());
+      CHECK(notice.is_retry_after_invalid);
+    }
+    CHECK(notice_of(503, {{"Retry-After", "1e300"}}).retry_after ==
+          std::chrono::hours(24));
+  }
+}
+
 SCENARIO("an order about keys says something else than decided") {
   const auto upstreams = MakeUpstreamProtocol();
   const Endpoint endpoint{"10.0.0.1", 80};
--- a/unittests/upstream/load_balancer_test.cc
+++ b/unittests/upstream/load_balancer_test.cc
@@ -57,6 +57,31 @@
     CHECK(sent <= 40);
   }
 
+  SECTION(
+      "the requests of another daemon are counted once, in any order of "
+      "reports and registrations") {
+    const UpstreamId a("a");
+    for (int i = 0; i < 3; ++i) {
+      fixture.balancer.SetPeerLoad(DaemonId("d1"),
+                                   {{a, 3}, {UpstreamId("z"), 4}}, fixture.now);
+      fixture.balancer.SetUpstreams(fixture.entries, fixture.now);
+    }
+    CHECK_FALSE(fixture.balancer.IsContended(a, fixture.now));
+    fixture.balancer.SetPeerLoad(DaemonId("d2"), {{a, 1}}, fixture.now);
+    CHECK(fixture.balancer.IsContended(a, fixture.now));
+    fixture.balancer.SetPeerLoad(DaemonId("d1"), {}, fixture.now);
+    CHECK_FALSE(fixture.balancer.IsContended(a, fixture.now));
+    SECTION("also for an upstream that registers after the report") {
+      const UpstreamId z("z");
+      fixture.balancer.SetPeerLoad(DaemonId("d1"), {{z, 4}}, fixture.now);
+      fixture.entries.push_back(Entry("z", "east"));
+      fixture.balancer.SetUpstreams(fixture.entries, fixture.now);
+      CHECK(fixture.balancer.IsContended(z, fixture.now));
+      CHECK_FALSE(
+          fixture.balancer.IsContended(z, fixture.now + milliseconds(1'300)));
+    }
+  }
+
   SECTION("requests of other daemons are counted") {
     fixture.balancer.OnSent(UpstreamId("a"), fixture.now);
     fixture.balancer.SetPeerLoad(DaemonId("d1"), {{UpstreamId("a"), 7}},
