--- a/unittests/upstream/upstream_thread_test.cc
+++ b/unittests/upstream/upstream_thread_test.cc
@@ -269,6 +269,28 @@
   }
 }
 
+SCENARIO("a second answer to a release is taken for the next release's") {
+  Fixture fixture;
+  const RangeReleaseCall release{
+      UpstreamId("u"), {ShardKey(0), ShardKey(9)}, FencingToken(1)};
+  fixture.Push(fixture.MakeCall(1, release));
+  RawPeer upstream = fixture.Accept();
+  upstream.ReadMessage();
+  upstream.Send(Ok(""));
+  REQUIRE(fixture.to_control.PopUntil(TestDeadline()).has_value());
+  fixture.Push(fixture.MakeCall(2, release));
+  RawPeer second = fixture.Accept();
+  // Nothing in an answer tells which call it belongs to, so each release has a
+  // connection of its own.
+  upstream.TrySend(Ok(""));
+  second.ReadMessage();
+  CHECK_FALSE(
+      fixture.to_control.PopUntil(steady_clock::now() + milliseconds(50))
+          .has_value());
+  second.Send(Ok(""));
+  CHECK(fixture.to_control.PopUntil(TestDeadline())->id == ControlCallId(2));
+}
+
 SCENARIO("a control call delays another or loses its result") {
   Fixture fixture;
   const GroupId group{ServiceName("reader"), FailureDomain("hartford"), 0};
