--- a/include/bamboorack/upstream/load_balancer.h
+++ b/include/bamboorack/upstream/load_balancer.h
@@ -56,7 +56,7 @@
   /// Replaces the number of requests that another daemon has in flight at each
   /// upstream.
   void SetPeerLoad(const DaemonId& peer,
-                   const std::map<UpstreamId, std::uint32_t>& in_flight,
+                   std::map<UpstreamId, std::uint32_t> in_flight,
                    MonotonicTime now);
 
   void OnSent(const UpstreamId& id, MonotonicTime now);
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -131,7 +131,7 @@
     const auto found = this->by_hash.find(load.upstream);
     if (found != this->by_hash.end()) in_flight[found->second] = load.in_flight;
   }
-  this->load_balancer.SetPeerLoad(report.sender, in_flight, time);
+  this->load_balancer.SetPeerLoad(report.sender, std::move(in_flight), time);
   for (const peer::UpstreamDeparture& departure : report.departures) {
     const auto found = this->by_hash.find(departure.upstream);
     if (found == this->by_hash.end()) continue;
--- a/lib/upstream/load_balancer.cc
+++ b/lib/upstream/load_balancer.cc
@@ -133,13 +133,13 @@
   return found == this->states.end() ? nullptr : &found->second.entry;
 }
 
-void LoadBalancer::SetPeerLoad(
-    const DaemonId& peer, const std::map<UpstreamId, std::uint32_t>& in_flight,
-    MonotonicTime now) {
+void LoadBalancer::SetPeerLoad(const DaemonId& peer,
+                               std::map<UpstreamId, std::uint32_t> in_flight,
+                               MonotonicTime now) {
   this->DropOldReports(now);
   PeerLoad& load = this->peers[peer];
   this->SubtractPeerLoad(load);
-  load = {in_flight, now};
+  load = {std::move(in_flight), now};
   this->AddPeerLoad(load);
   this->next_report_expiry =
       std::min(this->next_report_expiry, now + kMaxReportAge);
--- a/tools/fakes/platform_upstream/main.cc
+++ b/tools/fakes/platform_upstream/main.cc
@@ -23,6 +23,14 @@
   app.add_option("--slots", settings.slots);
   app.add_option("--work-ms", work_ms);
   app.add_flag("--sharded", settings.is_sharded);
+  app.add_flag("--leaving", settings.is_leaving,
+               "say on all answers that it leaves, not in the registry");
+  app.add_option("--pause-every", settings.pause_every,
+                 "turn away one request of so many with --retry-after");
+  app.add_option("--retry-after", settings.retry_after,
+                 "value of Retry-After, sent as it is");
+  app.add_option("--second-answer-every", settings.second_answer_every,
+                 "answer one request of so many a second time, late");
   CLI11_PARSE(app, argc, argv);
   settings.work = std::chrono::milliseconds(work_ms);
   const sigset_t signals = bamboorack::tools::BlockSignals({SIGTERM, SIGINT});
--- a/tools/fakes/platform_upstream/platform_upstream.cc
+++ b/tools/fakes/platform_upstream/platform_upstream.cc
@@ -104,6 +104,7 @@
 void PlatformUpstream::Handle(HTTPServerRequest& request,
                               HTTPServerResponse& response) {
   const Time arrived = steady_clock::now();
+  if (this->settings.is_leaving) response.set("Server-Leaving", "1");
   const std::string expected = request.get("X-Expect-Instance", "");
   if (!expected.empty() && expected != this->settings.id) {
     response.set("X-Instance-Id", this->settings.id);
@@ -207,6 +208,33 @@
       });
 }
 
+bool PlatformUpstream::AskForTime(std::uint64_t number,
+                                  HTTPServerResponse& response) {
+  const std::uint32_t every = this->settings.pause_every;
+  if (every == 0 || number % every != 0) return false;
+  response.set("Retry-After", this->settings.retry_after);
+  Refuse(response, 503);
+  return true;
+}
+
+void PlatformUpstream::SendAgain(HTTPServerRequest& request,
+                                 const HTTPServerResponse& response,
+                                 const std::string& body) {
+  std::this_thread::sleep_for(this->settings.second_answer_delay);
+  std::ostringstream answer;
+  response.write(answer);
+  answer << body;
+  const std::string text = answer.str();
+  auto& connection =
+      dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+  try {
+    connection.sendBytes(text.data(), static_cast<int>(text.size()));
+  } catch (const Poco::Exception&) {
+    // The caller has closed the connection.
+    return;
+  }
+}
+
 void PlatformUpstream::Run(HTTPServerRequest& request,
                            HTTPServerResponse& response) {
   const std::string body = ReadBody(request);
@@ -214,6 +242,8 @@
   const std::string key_text = request.get("X-Shard-Key", "0");
   const auto key = static_cast<std::uint32_t>(std::stoul(key_text));
   response.set("X-Request-Id", id);
+  const std::uint64_t number = ++this->requests;
+  if (this->AskForTime(number, response)) return;
   {
     const std::lock_guard lock(this->mutex);
     if (this->settings.is_sharded && !this->HoldsLocked(key)) {
@@ -238,7 +268,12 @@
                      [&id](const auto& run) { return run.second == id; }));
   }
   response.set("X-Server-Stamp", this->settings.id + "." + id);
-  SendJson(response, 200, "{\"id\":\"" + id + "\"}");
+  const std::string answer = "{\"id\":\"" + id + "\"}";
+  SendJson(response, 200, answer);
+  const std::uint32_t every = this->settings.second_answer_every;
+  if (every != 0 && number % every == 0) {
+    this->SendAgain(request, response, answer);
+  }
 }
 
 }  // namespace bamboorack::fakes
--- a/tools/fakes/platform_upstream/platform_upstream.h
+++ b/tools/fakes/platform_upstream/platform_upstream.h
@@ -5,6 +5,7 @@
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -30,6 +31,16 @@
   /// The address that is registered; the own one if 0. A proxy may stand
   /// before it.
   std::uint16_t advertised_port = 0;
+  /// Says on all answers that it leaves; its registry entry does not tell.
+  bool is_leaving = false;
+  /// Turns away one request of so many and asks for `retry_after`; 0 for none.
+  std::uint32_t pause_every = 0;
+  /// Sent as it is, so that tests can send malformed values.
+  std::string retry_after = "1";
+  /// Sends the answer to one request of so many a second time, after
+  /// `second_answer_delay`; 0 for none.
+  std::uint32_t second_answer_every = 0;
+  std::chrono::milliseconds second_answer_delay{30};
 };
 
 /// A stand-in for an upstream of the platform: registers itself, takes grants
@@ -63,6 +74,13 @@
 
   int Grant(const std::string& body, Time arrived);
   std::string Release(const std::string& body);
+  /// Turns the request away if its turn has come. Returns whether it did.
+  bool AskForTime(std::uint64_t number,
+                  Poco::Net::HTTPServerResponse& response);
+  /// Sends the same answer once more on the connection of the request.
+  void SendAgain(Poco::Net::HTTPServerRequest& request,
+                 const Poco::Net::HTTPServerResponse& response,
+                 const std::string& body);
   void CutLocked(std::uint32_t first, std::uint32_t last);
   bool HoldsLocked(std::uint32_t key) const;
   void Run(Poco::Net::HTTPServerRequest& request,
@@ -81,6 +99,7 @@
   std::multimap<std::uint32_t, std::string> running;
   std::uint32_t busy = 0;
   std::uint64_t beats = 0;
+  std::atomic<std::uint64_t> requests{0};
   std::uint64_t handovers = 0;
   std::int64_t born = 0;
   std::unique_ptr<Poco::Net::HTTPServer> server;
