daemon: do not lose requests that wait for a paused upstream

Cause: when an upstream asked for time, requests were taken out of its queue by the latest start of their arrival and refused by the estimate of now. If the estimate had fallen meanwhile, they were neither refused nor queued again and got no answer.

Change: they are scheduled again, which refuses them or queues them by the estimate of now.

The new section failed before the change.

--- a/lib/daemon/gateway_router_notices.cc
+++ b/lib/daemon/gateway_router_notices.cc
@@ -53,11 +53,13 @@
   const auto queue =
       this->queues.find(QueueKey{pending.service, pending.upstream});
   if (queue == this->queues.end()) return;
-  // These cannot start at another upstream, and not at this one in time.
+  // These cannot start at another upstream, and by the estimate of their
+  // arrival not at this one in time. They are refused, or wait by the estimate
+  // of now.
   for (const upstream::QueueEntry& entry : queue->second.RemoveExpired(until)) {
     PendingRequest& waiting = this->requests.at(entry.request);
     waiting.stage = Stage::kUnscheduled;
-    this->RefuseIfPausedTooLong(waiting, until);
+    this->ScheduleRequest(waiting, false);
   }
 }
 
--- a/unittests/caller/caller_fixture.h
+++ b/unittests/caller/caller_fixture.h
@@ -1,13 +1,13 @@
 #ifndef BAMBOORACK_UNITTESTS_CALLER_CALLER_FIXTURE_H_
 #define BAMBOORACK_UNITTESTS_CALLER_CALLER_FIXTURE_H_
 
-#include <catch2/catch.hpp>
 #include <memory>
 #include <string>
 #include <utility>
 #include <variant>
 
 #include "bamboorack/caller/caller_thread.h"
+#include "catch2/catch.hpp"
 #include "support/raw_peer.h"
 
 namespace bamboorack::caller {
--- a/unittests/caller/caller_pipeline_test.cc
+++ b/unittests/caller/caller_pipeline_test.cc
@@ -1,8 +1,8 @@
-#include <catch2/catch.hpp>
 #include <string>
 #include <variant>
 
 #include "caller/caller_fixture.h"
+#include "catch2/catch.hpp"
 
 namespace bamboorack::caller {
 namespace {
--- a/unittests/daemon/gateway_router_notices_test.cc
+++ b/unittests/daemon/gateway_router_notices_test.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -7,6 +6,7 @@
 #include <vector>
 
 #include "bamboorack/daemon/gateway_router.h"
+#include "catch2/catch.hpp"
 #include "daemon/gateway_router_fixture.h"
 
 namespace bamboorack::daemon {
@@ -148,6 +148,21 @@
       CHECK(fixture.dispatches.size() > sent);
     }
   }
+  GIVEN("requests that wait for it and became shorter meanwhile") {
+    for (std::uint64_t i = 1; i <= 8; ++i) {
+      fixture.Send(i, "/read/1", "17");
+    }
+    fixture.AdvanceTime(milliseconds(10));
+    fixture.CompleteDispatch(fixture.dispatches.at(0), Fixture::Ok());
+    // Too long by the estimate of their arrival, not by that of now.
+    paused.retry_after = milliseconds(760);
+    fixture.CompleteDispatch(fixture.dispatches.at(1), shed(), paused);
+    THEN("each one is sent or refused in the end") {
+      fixture.AdvanceTime(milliseconds(1'000));
+      CHECK(fixture.router.InFlightCount() + fixture.answers.size() == 8);
+      CHECK(fixture.router.WaitingCount() == 0);
+    }
+  }
   GIVEN("one of two upstreams of a service without keys") {
     fixture.Send(1, "/pay/1");
     const UpstreamId first = fixture.dispatches.at(0).upstream.id;
--- a/unittests/upstream/upstream_endless_test.cc
+++ b/unittests/upstream/upstream_endless_test.cc
@@ -1,4 +1,3 @@
-#include <catch2/catch.hpp>
 #include <chrono>
 #include <cstddef>
 #include <ctime>
@@ -8,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "bamboorack/upstream/upstream_thread.h"
+#include "catch2/catch.hpp"
 #include "support/endless_sender.h"
 #include "support/raw_peer.h"
 #include "upstream/upstream_fixture.h"
