upstream, daemon: let daemons on slow links claim leadership later

Ruled out: upstreams that leave or ask for time (none did in the logs).

Change: the platform's settings hand over the link's rate; below 50 Mbit/s a daemon claims 250 ms, one read interval, later than others. An earlier process of the same VM is still followed at once, since others wait longer. The tests need the new parameter.

--- a/include/bamboorack/daemon/ownership_controller.h
+++ b/include/bamboorack/daemon/ownership_controller.h
@@ -58,6 +58,8 @@
     DaemonInstance instance;
     /// Address on which this daemon receives gossip datagrams.
     Endpoint gossip_endpoint;
+    /// How much later than others this daemon claims leadership.
+    std::chrono::milliseconds claim_delay{0};
   };
 
   OwnershipController(
--- a/include/bamboorack/operator/gateway_settings.h
+++ b/include/bamboorack/operator/gateway_settings.h
@@ -26,6 +26,8 @@
   std::chrono::milliseconds longest_lease{10'000};
   /// From a request to stop until the process is killed.
   std::chrono::milliseconds stop_time{6'000};
+  /// Rate of the VM's network link in megabits a second; 0 if not known.
+  std::uint32_t link_mbps = 0;
   /// Open connections of callers.
   std::uint32_t caller_connections = 4'096;
   /// Open connections for requests to one upstream.
--- a/include/bamboorack/upstream/range_leadership.h
+++ b/include/bamboorack/upstream/range_leadership.h
@@ -40,8 +40,15 @@
   /// The call to the log that is due.
   enum class LogAction : std::uint8_t { kNothing, kRead, kClaim, kRenew };
 
+  /// One read interval: daemons without delay then claim one read earlier.
+  static constexpr std::chrono::milliseconds kSlowLinkClaimDelay{250};
+
+  /// A daemon that would lead worse than others claims `delay` later than they
+  /// do, so that it leads only if none of them does.
   RangeLeadership(DaemonId daemon, DaemonInstance daemon_instance,
-                  MonotonicTime now);
+                  MonotonicTime now,
+                  std::chrono::milliseconds delay = std::chrono::milliseconds{
+                      0});
 
   /// Returns the log call that is due. It is outstanding until `OnRead`,
   /// `OnReadFailed`, `OnAppended` or `OnAppendFailed` is called.
@@ -101,6 +108,7 @@
 
   const DaemonId self;
   const DaemonInstance instance;
+  const std::chrono::milliseconds claim_delay;
   Role role = Role::kFollower;
   bool is_call_outstanding = false;
   LogAction last_action = LogAction::kNothing;
--- a/lib/daemon/gateway.cc
+++ b/lib/daemon/gateway.cc
@@ -39,6 +39,18 @@
 // timeouts of callers.
 constexpr milliseconds kConnectTimeout{200};
 
+// A leader sends owners and relays to all daemons and renews all leases. On a
+// slower link these wait behind the answers to callers, upstreams then seem
+// unreachable, and their keys are moved without need.
+constexpr std::uint32_t kMinLeaderLinkMbps = 50;
+
+milliseconds ClaimDelay(const operators::GatewaySettings& settings) {
+  const bool is_slow =
+      settings.link_mbps != 0 && settings.link_mbps < kMinLeaderLinkMbps;
+  return is_slow ? upstream::RangeLeadership::kSlowLinkClaimDelay
+                 : milliseconds(0);
+}
+
 std::string GenerateInstance() {
   return Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
 }
@@ -81,7 +93,8 @@
         adapter(gateway_adapter),
         log(event_log),
         instance(GenerateInstance()),
-        controller({settings.daemon_id, instance, settings.gossip_endpoint},
+        controller({settings.daemon_id, instance, settings.gossip_endpoint,
+                    ClaimDelay(settings)},
                    MakeRangeLeases(settings), adapter.documents, metrics,
                    std::chrono::steady_clock::now()),
         ownership(controller, rings, log, metrics),
--- a/lib/daemon/ownership_controller.cc
+++ b/lib/daemon/ownership_controller.cc
@@ -42,7 +42,8 @@
     : identity(std::move(own_identity)),
       documents(std::move(state_documents)),
       metrics(metrics_registry),
-      leadership(this->identity.daemon, this->identity.instance, start),
+      leadership(this->identity.daemon, this->identity.instance, start,
+                 this->identity.claim_delay),
       lease_manager(range_leases),
       next_directory_call(start) {}
 
--- a/lib/operator/gateway_settings.cc
+++ b/lib/operator/gateway_settings.cc
@@ -27,6 +27,7 @@
     Field<&GatewaySettings::longest_lease>("longest_lease_ms", kOptional,
                                            kLeaseRange),
     Field<&GatewaySettings::stop_time>("stop_ms", kOptional, kStopRange),
+    Field<&GatewaySettings::link_mbps>("link_mbps", kOptional, {0, 10'000'000}),
     Field<&GatewaySettings::caller_connections>("caller_connections", kOptional,
                                                 {1, 60'000}),
     Field<&GatewaySettings::connections_per_upstream>(
--- a/lib/upstream/range_leadership.cc
+++ b/lib/upstream/range_leadership.cc
@@ -20,9 +20,11 @@
 
 RangeLeadership::RangeLeadership(DaemonId daemon,
                                  DaemonInstance daemon_instance,
-                                 MonotonicTime now)
+                                 MonotonicTime now,
+                                 std::chrono::milliseconds delay)
     : self(std::move(daemon)),
       instance(std::move(daemon_instance)),
+      claim_delay(delay),
       next_call(now),
       // The first read is due at once.
       last_leader_message(now - kLeaderTimeout),
@@ -62,12 +64,14 @@
 
 bool RangeLeadership::MayClaim(MonotonicTime now) const {
   if (!this->observed_end || now < this->earliest_claim) return false;
-  if (!this->observed || this->observed->is_released) return true;
   // The record is from a former process of this daemon, which has ended, since
-  // this process runs in its place.
-  if (this->observed->leader == this->self) return true;
-  if (this->lapsed_log_end == this->observed_end) return true;
-  return now - this->observed_since >= kTakeoverWait;
+  // this process runs in its place. Other daemons have to wait longer.
+  if (this->observed && this->observed->leader == this->self) return true;
+  const auto observed_for = now - this->observed_since;
+  const bool is_free = !this->observed || this->observed->is_released ||
+                       this->lapsed_log_end == this->observed_end;
+  return observed_for >=
+         (is_free ? this->claim_delay : kTakeoverWait + this->claim_delay);
 }
 
 RangeLeadership::LogAction RangeLeadership::NextLeaderAction(
--- a/unittests/platform/protocol_test.cc
+++ b/unittests/platform/protocol_test.cc
@@ -224,6 +224,17 @@
   CHECK(settings->stop_time == milliseconds(5'000));
   CHECK(settings->log_endpoint == Endpoint{"10.0.0.2", 4});
 
+  SECTION("the rate of the link, with a fraction or without one") {
+    const auto with = [&good](const std::string& limits) {
+      return ReadSettings(good.substr(0, good.rfind('}')) + "," + limits + "}");
+    };
+    CHECK(settings->link_mbps == 0);
+    CHECK(with(R"("limits": {"link_mbps": 11.7})")->link_mbps == 11);
+    CHECK(with(R"("limits": {"link_mbps": 0.4})")->link_mbps == 1);
+    CHECK(with(R"("limits": {"link_mbps": 0})")->link_mbps == 0);
+    CHECK(with(R"("limits": {})")->link_mbps == 0);
+    CHECK_FALSE(with(R"("limits": {"link_mbps": "fast"})").has_value());
+  }
   SECTION("every error is listed") {
     const auto bad = ReadSettings(R"({"gateway": {"daemon_id": "n",
       "caller_endpoint": 7}, "bounds": []})");
--- a/unittests/upstream/range_leadership_test.cc
+++ b/unittests/upstream/range_leadership_test.cc
@@ -21,6 +21,42 @@
   return record;
 }
 
+SCENARIO("a daemon leads although another one would lead better") {
+  const MonotonicTime start{seconds(100)};
+  const auto delay = RangeLeadership::kSlowLinkClaimDelay;
+  RangeLeadership fast(DaemonId("d0"), DaemonInstance("i0"), start);
+  RangeLeadership slow(DaemonId("d1"), DaemonInstance("i1"), start, delay);
+  /// Reads `record` once and returns whether the claim is due then.
+  const auto claims_after = [start](RangeLeadership& daemon,
+                                    const OwnershipRecord& record,
+                                    milliseconds wait) {
+    REQUIRE(daemon.NextLogAction(start, false) == LogAction::kRead);
+    daemon.OnRead(record, LogOffset(5), start);
+    const LogAction action = daemon.NextLogAction(start + wait, false);
+    return action == LogAction::kClaim;
+  };
+
+  SECTION("a former leader is silent: both wait, the slow one longer") {
+    const OwnershipRecord record = RecordOf("d9", 3);
+    CHECK(claims_after(fast, record, RangeLeadership::kTakeoverWait));
+    CHECK_FALSE(claims_after(slow, record, RangeLeadership::kTakeoverWait));
+    SECTION("and it leads if no other does") {
+      slow.OnRead(record, LogOffset(5), start + RangeLeadership::kTakeoverWait);
+      CHECK(slow.NextLogAction(start + RangeLeadership::kTakeoverWait + delay,
+                               false) == LogAction::kClaim);
+    }
+  }
+  SECTION("a former leader has released") {
+    OwnershipRecord record = RecordOf("d9", 3);
+    record.is_released = true;
+    CHECK(claims_after(fast, record, milliseconds(0)));
+    CHECK_FALSE(claims_after(slow, record, milliseconds(0)));
+  }
+  SECTION("an earlier process of the slow one led: others wait longer yet") {
+    CHECK(claims_after(slow, RecordOf("d1", 3, "former"), milliseconds(0)));
+  }
+}
+
 SCENARIO("two daemons lead ownership at the same time") {
   MonotonicTime now{seconds(100)};
   RangeLeadership own(DaemonId("d0"), DaemonInstance("i0"), now);
