caller: answer a held-back request at once if the ring is full

Cause: a request that was held back is handed over after the answers in front of it were sent. If the ring to the routing thread was full, its refusal was ready but not sent before the next event on the connection.

Change: it is handed over before the answers that are ready are taken.

--- a/lib/caller/caller_reactor.cc
+++ b/lib/caller/caller_reactor.cc
@@ -314,14 +314,15 @@
     if (this->IsEnding() && !connection.pipeline.IsEmpty()) {
       this->StopReading(connection);
     }
+    // It is answered at once if it cannot be handed over.
+    if (CallerExchange* held = connection.pipeline.HeldFirst()) {
+      this->PassOn(connection, *held);
+    }
     const auto exchange = connection.pipeline.PopAnswered();
     if (!exchange) break;
     this->QueueAnswer(connection, *exchange);
     has_new_output = true;
   }
-  if (CallerExchange* held = connection.pipeline.HeldFirst()) {
-    this->PassOn(connection, *held);
-  }
   if (connection.is_continue_due && connection.pipeline.IsEmpty()) {
     connection.is_continue_due = false;
     connection.http.Queue(EncodeContinue());
--- a/unittests/caller/caller_pipeline_test.cc
+++ b/unittests/caller/caller_pipeline_test.cc
@@ -130,6 +130,19 @@
     }
   }
 
+  GIVEN("a full ring when a request that was held back may start") {
+    Fixture fixture({}, 1);
+    RawPeer caller = fixture.Connect();
+    caller.Send(Get("a") + PostOnce("pay"));
+    const auto first = fixture.NextRequest();
+    REQUIRE(fixture.out.TryPush(CallerGone{}));
+    fixture.Reply(first.slot, MakeAnswer("one"));
+    THEN("it is refused at once") {
+      CHECK_THAT(caller.ReadMessage(), Catch::EndsWith("one"));
+      CHECK_THAT(caller.ReadMessage(), Contains("ring_full"));
+    }
+  }
+
   GIVEN("a request that the routing thread gives back, sent ahead") {
     Fixture fixture;
     RawPeer caller = fixture.Connect();
