--- a/include/bamboorack/core/leaving_upstreams.h
+++ b/include/bamboorack/core/leaving_upstreams.h
@@ -13,8 +13,8 @@
 ///
 /// Fault pattern: an upstream says in an answer that it leaves, and its
 /// registry entry is older, says something else, or is back after an outage of
-/// the registry. A run does not take its word back, so the entry of this run
-/// counts as draining; only another run under the same id is usable.
+/// the registry. Leaving is final for a run, so its entry counts as draining;
+/// only another run under the same id is usable.
 class LeavingUpstreams {
  public:
   /// Returns whether the run was not known to leave.
--- a/include/bamboorack/core/upstream_registry.h
+++ b/include/bamboorack/core/upstream_registry.h
@@ -53,8 +53,8 @@
   /// Takes the whole registry.
   void Replace(const std::vector<RegisteredUpstream>& entries,
                MonotonicTime now);
-  /// Takes an upstream's word that this run leaves. From then on its entry is
-  /// a draining one, whatever the registry says.
+  /// Records that this run said that it leaves. From then on its entry is a
+  /// draining one, whatever the registry says.
   void MarkLeaving(const UpstreamRun& run);
   /// Tells that the registry answered this daemon or another one. Called
   /// before what it answered is taken.
--- a/include/bamboorack/upstream/load_balancer.h
+++ b/include/bamboorack/upstream/load_balancer.h
@@ -66,7 +66,7 @@
                std::chrono::nanoseconds latency,
                std::chrono::nanoseconds mean_latency, MonotonicTime now);
 
-  /// Takes the word of a run that it leaves. It gets no new requests from now
+  /// Records that a run said that it leaves. It gets no new requests from now
   /// on, whatever the registry says. Returns whether this is new.
   bool MarkLeaving(const UpstreamRun& run, MonotonicTime now);
   /// The upstream asked for no requests until `until`. Forgotten with its run.
--- a/lib/upstream/upstream_reactor.cc
+++ b/lib/upstream/upstream_reactor.cc
@@ -479,12 +479,12 @@
   AnswerHead head = std::move(*connection.answer);
   connection.answer.reset();
   const bool has_extra_input = !connection.http.Input().empty();
-  // If the upstream answers before the whole request is written, the connection
-  // must not be reused: the rest would be parsed as another request.
   // An answer to a release does not tell which release it belongs to. A late
   // second one would end a lease while requests run on its keys, so no other
   // release uses the connection.
   const bool may_share = connection.pool.second != TrafficClass::kRevoke;
+  // If the upstream answers before the whole request is written, the connection
+  // must not be reused: the rest would be parsed as another request.
   const bool is_reusable = may_share && head.keep_alive && !has_extra_input &&
                            !connection.peer_closed &&
                            !connection.http.HasOutput();
