--- a/review/harness/backend.h
+++ b/review/harness/backend.h
@@ -40,6 +40,8 @@
   ~Backend() { this->Stop(); }
 
   AnswerHook after_answer;
+  /// Draws the work of a request; without it every request takes `plan.work`.
+  std::function<milliseconds(const Message& request)> draw_work;
 
   void Start() {
     this->listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -89,6 +91,17 @@
            ",\"warmup_left\":\"0ms\"}}";
   }
 
+  /// A run of a request; without an end while the backend is at work.
+  struct Span {
+    std::string id;
+    Time begin;
+    std::optional<Time> end;
+  };
+  std::vector<Span> Spans() const {
+    const std::lock_guard lock(this->mutex);
+    return this->spans;
+  }
+
   /// How often each request id began to run here.
   std::map<std::string, int> Runs() const {
     const std::lock_guard lock(this->mutex);
@@ -227,6 +240,7 @@
       }
       ++this->busy;
     }
+    std::size_t span = 0;
     // Waits for a slot.
     while (true) {
       {
@@ -235,6 +249,8 @@
           ++this->working;
           ++this->runs[id];
           ++this->running[key];
+          span = this->spans.size();
+          this->spans.push_back({id, Clock::now(), std::nullopt});
           break;
         }
       }
@@ -248,9 +264,13 @@
     this->record.Line("backend " + this->plan.id + " runs " + id + " " +
                       method + " " + target + " body " +
                       std::to_string(request.body.size()));
-    Sleep(this->plan.work);
+    const Time end = Clock::now() + (this->draw_work ? this->draw_work(request)
+                                                     : this->plan.work);
+    // The work is dropped when its connection closes.
+    while (Clock::now() < end && !this->IsGone(stream)) Sleep(milliseconds(1));
     {
       const std::lock_guard lock(this->mutex);
+      this->spans[span].end = Clock::now();
       --this->busy;
       --this->working;
       if (--this->running[key] == 0) this->running.erase(key);
@@ -350,6 +370,7 @@
   unsigned busy = 0;
   unsigned working = 0;
   std::map<std::string, int> runs;
+  std::vector<Span> spans;
   std::map<std::uint64_t, int> running;
 };
 
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -388,6 +388,9 @@
     unsigned starts = 0;
   };
 
+  /// From SIGTERM to SIGKILL, a whole number of seconds.
+  milliseconds grace{6'000};
+
   void StartStore() {
     const std::string output = this->folder + "/store.log";
     this->store.Start({this->Tool("fake_platform_store")}, {}, output);
@@ -428,7 +431,9 @@
         << ",\"readiness_endpoint\":" << at(gateway->ready)
         << ",\"gossip_endpoint\":" << at(gossip)
         << ",\"log_endpoint\":" << at(store_address)
-        << "},\"bounds\":{\"drain\":\"2000ms\",\"grace\":\"6s\","
+        << "},\"bounds\":{\"drain\":\"2000ms\",\"grace\":\""
+        << this->grace.count() / 1000
+        << "s\","
            "\"hold_max\":\"10000ms\",\"apply\":\"2000ms\"},"
            "\"limits\":{\"cpu_share\":0.3,\"cores\":1,\"memory_mb\":390,"
            "\"max_fds\":6150,\"link_mbps\":1500.0,\"disk_mb\":0}}";
