--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -27,6 +27,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <sstream>
 #include <stdexcept>
 #include <string>
@@ -83,17 +84,22 @@
   return address;
 }
 
-/// Returns a port that is free now, for TCP or UDP.
+/// Returns a port that is free now, for TCP or UDP. It lies below the range
+/// from which outgoing connections get theirs, so that it stays free while a
+/// process restarts.
 inline std::uint16_t FreePort(int type = SOCK_STREAM) {
-  const int fd = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
-  sockaddr_in address = Loopback(0);
-  socklen_t size = sizeof(address);
-  if (::bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
-      ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
-    throw CannotRun("no free port");
+  static std::mt19937 random{std::random_device{}()};
+  std::uniform_int_distribution<int> pick(12'000, 31'000);
+  for (int i = 0; i < 200; ++i) {
+    const auto port = static_cast<std::uint16_t>(pick(random));
+    const int fd = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    sockaddr_in address = Loopback(port);
+    const bool is_free =
+        ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    ::close(fd);
+    if (is_free) return port;
   }
-  ::close(fd);
-  return ntohs(address.sin_port);
+  throw CannotRun("no free port");
 }
 
 /// A child process. It is killed at the end of this object's life.
