--- a/review/harness/backend.h
+++ b/review/harness/backend.h
@@ -102,6 +102,19 @@
     return this->spans;
   }
 
+  /// Keys that this backend held for a time.
+  struct HeldSpan {
+    std::uint64_t first = 0;
+    std::uint64_t last = 0;
+    std::uint64_t fence = 0;
+    Time begin;
+    Time end;
+  };
+  std::vector<HeldSpan> HeldSpans() const {
+    const std::lock_guard lock(this->mutex);
+    return this->held;
+  }
+
   /// How often each request id began to run here.
   std::map<std::string, int> Runs() const {
     const std::lock_guard lock(this->mutex);
@@ -294,6 +307,7 @@
     const Hold hold{NumberIn(json, "from"), NumberIn(json, "to"),
                     NumberIn(json, "fence"),
                     arrived + SpanIn(json, "hold_time")};
+    this->record.Line("backend " + this->plan.id + " gets the grant " + json);
     const std::lock_guard lock(this->mutex);
     for (const Hold& seen : this->seen) {
       const bool overlaps = seen.first <= hold.last && hold.first <= seen.last;
@@ -306,12 +320,15 @@
     std::erase_if(this->holds,
                   [arrived](const Hold& row) { return row.until <= arrived; });
     this->holds.push_back(hold);
+    this->held.push_back(
+        {hold.first, hold.last, hold.fence, arrived, hold.until});
     return 200;
   }
 
   void Release(const std::string& json) {
     const std::uint64_t first = NumberIn(json, "from");
     const std::uint64_t last = NumberIn(json, "to");
+    this->record.Line("backend " + this->plan.id + " gets the release " + json);
     {
       const std::lock_guard lock(this->mutex);
       std::vector<Hold> kept;
@@ -332,6 +349,7 @@
         }
       }
       this->holds = std::move(kept);
+      this->EndHeld(first, last, Clock::now());
     }
     while (!this->is_stopping) {
       {
@@ -343,6 +361,28 @@
     }
   }
 
+  /// Ends the spans of these keys now, and keeps those of other keys.
+  void EndHeld(std::uint64_t first, std::uint64_t last, Time now) {
+    std::vector<HeldSpan> parts;
+    for (HeldSpan& span : this->held) {
+      if (last < span.first || span.last < first || span.end <= now) continue;
+      HeldSpan part = span;
+      if (span.first < first) {
+        part.last = first - 1;
+        parts.push_back(part);
+      }
+      part = span;
+      if (last < span.last) {
+        part.first = last + 1;
+        parts.push_back(part);
+      }
+      span.first = std::max(span.first, first);
+      span.last = std::min(span.last, last);
+      span.end = now;
+    }
+    this->held.insert(this->held.end(), parts.begin(), parts.end());
+  }
+
   bool Holds(std::uint64_t key) const {
     const Time now = Clock::now();
     return std::any_of(
@@ -367,6 +407,7 @@
   std::vector<std::weak_ptr<Stream>> streams;
   std::vector<Hold> holds;
   std::vector<Hold> seen;
+  std::vector<HeldSpan> held;
   unsigned busy = 0;
   unsigned working = 0;
   std::map<std::string, int> runs;
