--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -14,7 +14,7 @@
 
 constexpr int kGateways = 3;
 constexpr int kBackends = 10;
-constexpr int kClients = 150;
+constexpr int kClients = 190;
 constexpr int kStops = 8;
 // The sheet of notus-diary-gw-large.
 constexpr milliseconds kGrace{10'000};
--- a/review/harness/backend.h
+++ b/review/harness/backend.h
@@ -280,7 +280,7 @@
     const Time end = Clock::now() + (this->draw_work ? this->draw_work(request)
                                                      : this->plan.work);
     // The work is dropped when its connection closes.
-    while (Clock::now() < end && !this->IsGone(stream)) Sleep(milliseconds(1));
+    while (Clock::now() < end && !this->IsGone(stream)) Sleep(milliseconds(4));
     {
       const std::lock_guard lock(this->mutex);
       this->spans[span].end = Clock::now();
