--- a/review/harness/backend.h
+++ b/review/harness/backend.h
@@ -40,6 +40,10 @@
   ~Backend() { this->Stop(); }
 
   AnswerHook after_answer;
+  /// Sends bytes of its own in place of a 200 and returns true, or false to
+  /// have the answer sent. The connection is closed afterwards.
+  std::function<bool(const Stream& stream, const Message& request)>
+      replace_answer;
   /// Draws the work of a request; without it every request takes `plan.work`.
   std::function<milliseconds(const Message& request)> draw_work;
 
@@ -171,7 +175,9 @@
         connection.late.clear();
       }
       const auto [status, answer] = this->Handle(*request, stream);
-      if (!stream->Send(answer)) return;
+      const bool is_replaced = status == 200 && this->replace_answer &&
+                               this->replace_answer(*stream, *request);
+      if (is_replaced || !stream->Send(answer)) return;
       ++this->answers;
       if (this->after_answer) {
         this->after_answer(connection, *request, answer, status);
