upstream: send each attempt on a connection that has not carried its id

What callers saw: 503 for a request that is not idempotent and that the upstream then ran. A caller that relies on the 503 sends it again, and it runs twice.

Cause: all attempts of a request bear the same id, and an answer is matched to its request by that id alone. An attempt that was rejected went out again on the connection of its first attempt. A late second copy of the rejection arrived there, bore the right id and was taken for the answer to the second attempt, so both attempts counted as not run.

A waiting request uses an idle connection only if that one has not carried its id. If the pool is at its limit, the least recently used idle connection makes room.

Why it works: a late answer can only bear an id that its connection has carried, so it can no longer match the answer that is due, however late it comes.

--- a/include/bamboorack/upstream/exchange.h
+++ b/include/bamboorack/upstream/exchange.h
@@ -10,6 +10,7 @@
 #include "bamboorack/core/bounded_ring.h"
 #include "bamboorack/core/http_text.h"
 #include "bamboorack/core/time.h"
+#include "bamboorack/upstream/connection_history.h"
 #include "bamboorack/upstream/messages.h"
 #include "bamboorack/upstream/upstream_protocol.h"
 
@@ -73,6 +74,11 @@
   /// Returns the id for `CancelDispatch`, or nothing if the exchange cannot be
   /// cancelled.
   virtual std::optional<DispatchId> Id() const { return std::nullopt; }
+  /// Returns whether the exchange may use a connection that has carried
+  /// `history`: a late answer from then must not match this exchange.
+  virtual bool MayFollow(const ConnectionHistory& history) const = 0;
+  /// Adds the exchange to the history of its connection.
+  virtual void AddTo(ConnectionHistory& history) const = 0;
   /// Returns whether an answer with this head may belong to the request.
   virtual bool Matches(const AnswerHead& /*head*/) const { return true; }
   virtual void Succeed(AnswerHead head, Body body, ResultOutbox& outbox) = 0;
--- a/include/bamboorack/upstream/upstream_reactor.h
+++ b/include/bamboorack/upstream/upstream_reactor.h
@@ -19,6 +19,7 @@
 #include "bamboorack/core/http_connection.h"
 #include "bamboorack/core/metrics.h"
 #include "bamboorack/core/poll_reactor.h"
+#include "bamboorack/upstream/connection_history.h"
 #include "bamboorack/upstream/exchange.h"
 #include "bamboorack/upstream/upstream_thread.h"
 
@@ -54,6 +55,7 @@
     PoolId pool;
     Phase phase = Phase::kConnecting;
     bool peer_closed = false;
+    ConnectionHistory history;
     /// Set in phase `kExchanging`.
     std::unique_ptr<Exchange> exchange;
     /// Bytes written to the connection before the exchange began.
@@ -78,6 +80,12 @@
     std::deque<Key> queue;
   };
 
+  /// A waiting exchange and an idle connection that may carry it.
+  struct Assignment {
+    Key exchange = 0;
+    Key connection = 0;
+  };
+
   /// The event handlers of one phase.
   struct PhaseHandlers {
     Phase phase;
@@ -105,6 +113,9 @@
   /// Starts waiting exchanges on idle connections and opens new connections for
   /// the rest.
   void StartWaiting(const PoolId& id);
+  /// Returns the oldest waiting exchange that an idle connection may carry,
+  /// with the most recently used such connection.
+  std::optional<Assignment> FindAssignment(const Pool& pool) const;
   void Connect(const PoolId& id);
   void OnConnectFailed(const PoolId& id);
   std::unique_ptr<Exchange> TakeWaiting(Pool& pool);
--- a/lib/upstream/exchange.cc
+++ b/lib/upstream/exchange.cc
@@ -60,6 +60,12 @@
   HttpBytes Encode(MonotonicTime /*now*/) const override { return this->bytes; }
   MonotonicTime SendBefore() const override { return this->deadline; }
   MonotonicTime Deadline() const override { return this->deadline; }
+  bool MayFollow(const ConnectionHistory& /*history*/) const override {
+    return true;
+  }
+  void AddTo(ConnectionHistory& history) const override {
+    history.AddUnidentified();
+  }
   void Succeed(AnswerHead /*head*/, Body /*body*/,
                ResultOutbox& /*outbox*/) override {}
   void Fail(Failure /*failure*/, bool /*was_written*/,
@@ -91,6 +97,14 @@
     return this->dispatch.request.method == "HEAD";
   }
   std::optional<DispatchId> Id() const override { return this->dispatch.id; }
+  // All attempts of a request bear the same id, so a late answer to one would
+  // be taken for the answer to a later one on the same connection.
+  bool MayFollow(const ConnectionHistory& history) const override {
+    return !history.Contains(this->dispatch.request.id);
+  }
+  void AddTo(ConnectionHistory& history) const override {
+    history.Add(this->dispatch.request.id);
+  }
   bool Matches(const AnswerHead& head) const override {
     return this->protocol.IsAnswerTo(head, this->dispatch.request.id);
   }
@@ -143,6 +157,12 @@
     return std::min(this->call.send_before, this->call.deadline);
   }
   MonotonicTime Deadline() const override { return this->call.deadline; }
+  bool MayFollow(const ConnectionHistory& /*history*/) const override {
+    return true;
+  }
+  void AddTo(ConnectionHistory& history) const override {
+    history.AddUnidentified();
+  }
 
   void Succeed(AnswerHead head, Body body, ResultOutbox& outbox) override {
     this->Finish(
--- a/lib/upstream/upstream_reactor.cc
+++ b/lib/upstream/upstream_reactor.cc
@@ -226,21 +226,40 @@
 
 void UpstreamReactor::StartWaiting(const PoolId& id) {
   Pool& pool = this->pools[id];
-  while (!pool.queue.empty() && !pool.idle.empty()) {
-    Connection& connection = *this->connections.at(pool.idle.back());
+  while (const auto next = this->FindAssignment(pool)) {
+    Connection& connection = *this->connections.at(next->connection);
     if (!this->IsReusable(connection)) {
       this->Close(connection);
       continue;
     }
-    pool.idle.pop_back();
-    this->StartExchange(connection, this->TakeWaiting(pool));
+    std::erase(pool.idle, connection.key);
+    this->StartExchange(connection, this->RemoveWaiting(next->exchange));
   }
-  while (pool.connecting < pool.queue.size() &&
-         pool.open < this->LimitOf(id.second)) {
+  while (pool.connecting < pool.queue.size()) {
+    if (pool.open >= this->LimitOf(id.second)) {
+      if (pool.idle.empty()) return;
+      // No waiting exchange may use the idle connections.
+      this->Close(*this->connections.at(pool.idle.front()));
+    }
     this->Connect(id);
   }
 }
 
+std::optional<UpstreamReactor::Assignment> UpstreamReactor::FindAssignment(
+    const Pool& pool) const {
+  if (pool.idle.empty()) return std::nullopt;
+  for (const Key waiting_key : pool.queue) {
+    const Exchange& exchange = *this->waiting.at(waiting_key);
+    const auto found = std::find_if(
+        pool.idle.rbegin(), pool.idle.rend(), [&](Key connection_key) {
+          return exchange.MayFollow(
+              this->connections.at(connection_key)->history);
+        });
+    if (found != pool.idle.rend()) return Assignment{waiting_key, *found};
+  }
+  return std::nullopt;
+}
+
 void UpstreamReactor::Connect(const PoolId& id) {
   Pool& pool = this->pools[id];
   try {
@@ -314,6 +333,7 @@
     this->MakeIdle(connection);
     return;
   }
+  exchange->AddTo(connection.history);
   connection.bytes_written_before = connection.http.BytesWritten();
   connection.interim_answers = 0;
   connection.http.Queue(std::move(request));
@@ -485,7 +505,8 @@
   const bool may_share = connection.pool.second != TrafficClass::kRevoke;
   // If the upstream answers before the whole request is written, the connection
   // must not be reused: the rest would be parsed as another request.
-  const bool is_reusable = may_share && head.keep_alive && !has_extra_input &&
+  const bool is_reusable = may_share && !connection.history.IsFull() &&
+                           head.keep_alive && !has_extra_input &&
                            !connection.peer_closed &&
                            !connection.http.HasOutput();
   if (has_extra_input) this->metrics.Count("upstream_unmatched_answers");
