upstream: refuse an answer without an id on a connection used before

What callers could see: a late second answer that bears no request id matched whichever request was next on the connection, so a caller got the answer to another request, or a refusal as not run of a request that runs.

Cause: an answer without X-Request-Id was accepted for any request.

Change: such an answer is accepted only if its connection has carried no other request, and the connection is then closed. Otherwise the request ends as unknown, the connection is reset, and upstream_unidentified_answers counts it. A request whose caller sent no id is sent only on a new connection, since its answer cannot bear one. Interim answers have no effect and pass as before.

Five places in older scenarios expect that a connection is used again after an answer without an id. Their answers now bear the id of the request, as the protocol asks; what they check is unchanged. The include order in late_answer_test.cc made glog's CHECK hide Catch's; it is corrected.

--- a/include/bamboorack/upstream/exchange.h
+++ b/include/bamboorack/upstream/exchange.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "bamboorack/core/bounded_ring.h"
 #include "bamboorack/core/http_text.h"
@@ -34,6 +35,23 @@
   kStopping,
 };
 
+/// Whether an answer may be taken for the answer to an exchange.
+enum class AnswerMatch : std::uint8_t {
+  /// It belongs to another request.
+  kOther,
+  /// Nothing ties it to the exchange, so it may be a late second answer to an
+  /// earlier one. Only accepted on a connection that has carried no other.
+  kUnidentified,
+  /// It bears the id of the request, or it makes no difference which call it
+  /// answers.
+  kAccepted,
+};
+
+/// Compares the request id that an answer bears, or null, with that of the
+/// request which waits for it.
+AnswerMatch MatchRequestId(const std::string* answered,
+                           const RequestId& request);
+
 /// Buffers results while the rings are full. A dropped result would leave a
 /// request without an answer.
 class ResultOutbox {
@@ -79,8 +97,7 @@
   virtual bool MayFollow(const ConnectionHistory& history) const = 0;
   /// Adds the exchange to the history of its connection.
   virtual void AddTo(ConnectionHistory& history) const = 0;
-  /// Returns whether an answer with this head may belong to the request.
-  virtual bool Matches(const AnswerHead& /*head*/) const { return true; }
+  virtual AnswerMatch Match(const AnswerHead& head) const = 0;
   virtual void Succeed(AnswerHead head, Body body, ResultOutbox& outbox) = 0;
   /// `was_written` is true if any byte of the request was written to the
   /// socket.
--- a/include/bamboorack/upstream/upstream_codec.h
+++ b/include/bamboorack/upstream/upstream_codec.h
@@ -58,10 +58,6 @@
 /// its outcome is unknown.
 Result DecodeDispatchAnswer(AnswerHead head, Body body);
 
-/// Returns whether the answer may belong to `request`: the request id of the
-/// answer, if present, must match.
-bool IsAnswerTo(const AnswerHead& head, const RequestId& request);
-
 }  // namespace bamboorack::upstream
 
 #endif  // BAMBOORACK_UPSTREAM_UPSTREAM_CODEC_H_
--- a/include/bamboorack/upstream/upstream_protocol.h
+++ b/include/bamboorack/upstream/upstream_protocol.h
@@ -35,9 +35,12 @@
       const RequestId& request, const Endpoint& endpoint) const = 0;
   /// Whether an answer body may be chunked or end with the connection.
   virtual bool AllowsUnknownLength() const = 0;
-  /// Returns whether an answer with this head may belong to `request`.
-  virtual bool IsAnswerTo(const AnswerHead& head,
-                          const RequestId& request) const = 0;
+  /// Returns whether `request` is sent with its id, so that answers can bear
+  /// it.
+  virtual bool SendsRequestId(const Request& /*request*/) const { return true; }
+  /// Returns the id of the request that an answer with this head belongs to,
+  /// or null if the head does not name one.
+  virtual const std::string* FindRequestId(const AnswerHead& head) const = 0;
   /// Returns what the head of an answer says of `upstream`. An answer of
   /// another upstream at its address says nothing.
   virtual UpstreamNotice DecodeNotice(const UpstreamId& /*upstream*/,
--- a/include/bamboorack/upstream/upstream_reactor.h
+++ b/include/bamboorack/upstream/upstream_reactor.h
@@ -58,6 +58,8 @@
     ConnectionHistory history;
     /// Set in phase `kExchanging`.
     std::unique_ptr<Exchange> exchange;
+    /// Whether the exchange is the first on this connection.
+    bool is_first_exchange = false;
     /// Bytes written to the connection before the exchange began.
     std::uint64_t bytes_written_before = 0;
     /// Interim (1xx) answers to the current exchange.
@@ -65,6 +67,7 @@
     std::optional<AnswerHead> answer;
     /// Valid while `answer` is set.
     BodyReader body;
+    AnswerMatch answer_match = AnswerMatch::kOther;
     /// How long the upstream keeps an idle connection open, from its last
     /// answer; if unset, the `idle_timeout` setting applies alone.
     std::optional<std::chrono::milliseconds> keep_alive_timeout;
@@ -141,6 +144,9 @@
   /// exchange has ended; the connection may then be destroyed.
   bool ReadAnswer(Connection& connection);
   bool ParseAnswerHead(Connection& connection);
+  /// Returns false, and fails the exchange, if the answer is not to be taken
+  /// for the one that is due.
+  bool CheckAnswerMatch(Connection& connection, const AnswerHead& head);
   void CompleteExchange(Connection& connection);
   /// Fails the exchange because of an incomplete or malformed body.
   void FailBody(Connection& connection);
--- a/lib/upstream/exchange.cc
+++ b/lib/upstream/exchange.cc
@@ -66,6 +66,9 @@
   void AddTo(ConnectionHistory& history) const override {
     history.AddUnidentified();
   }
+  AnswerMatch Match(const AnswerHead& /*head*/) const override {
+    return AnswerMatch::kAccepted;
+  }
   void Succeed(AnswerHead /*head*/, Body /*body*/,
                ResultOutbox& /*outbox*/) override {}
   void Fail(Failure /*failure*/, bool /*was_written*/,
@@ -100,13 +103,15 @@
   // All attempts of a request bear the same id, so a late answer to one would
   // be taken for the answer to a later one on the same connection.
   bool MayFollow(const ConnectionHistory& history) const override {
-    return !history.Contains(this->dispatch.request.id);
+    if (history.IsNew()) return true;
+    return this->SendsId() && !history.Contains(this->dispatch.request.id);
   }
   void AddTo(ConnectionHistory& history) const override {
     history.Add(this->dispatch.request.id);
   }
-  bool Matches(const AnswerHead& head) const override {
-    return this->protocol.IsAnswerTo(head, this->dispatch.request.id);
+  AnswerMatch Match(const AnswerHead& head) const override {
+    return MatchRequestId(this->protocol.FindRequestId(head),
+                          this->dispatch.request.id);
   }
 
   void Succeed(AnswerHead head, Body body, ResultOutbox& outbox) override {
@@ -136,6 +141,10 @@
   }
 
  private:
+  bool SendsId() const {
+    return this->protocol.SendsRequestId(this->dispatch.request);
+  }
+
   Dispatch dispatch;
   const UpstreamProtocol& protocol;
 };
@@ -163,6 +172,14 @@
   void AddTo(ConnectionHistory& history) const override {
     history.AddUnidentified();
   }
+  // An answer to a release does not tell which release it belongs to. A late
+  // second one would end a lease while requests run on its keys, so no other
+  // release uses the connection.
+  AnswerMatch Match(const AnswerHead& /*head*/) const override {
+    return this->GetTrafficClass() == TrafficClass::kRevoke
+               ? AnswerMatch::kUnidentified
+               : AnswerMatch::kAccepted;
+  }
 
   void Succeed(AnswerHead head, Body body, ResultOutbox& outbox) override {
     this->Finish(
@@ -210,6 +227,15 @@
 
 }  // namespace
 
+AnswerMatch MatchRequestId(const std::string* answered,
+                           const RequestId& request) {
+  if (answered == nullptr || answered->empty()) {
+    return AnswerMatch::kUnidentified;
+  }
+  return *answered == request.value ? AnswerMatch::kAccepted
+                                    : AnswerMatch::kOther;
+}
+
 ResultOutbox::ResultOutbox(BoundedRing<UpstreamToRouting>& to_routing,
                            BoundedRing<ControlResult>& to_control)
     : routing(to_routing), control(to_control) {}
--- a/lib/upstream/upstream_codec.cc
+++ b/lib/upstream/upstream_codec.cc
@@ -342,9 +342,8 @@
     return upstream::EncodeCancel(request, endpoint);
   }
   bool AllowsUnknownLength() const override { return false; }
-  bool IsAnswerTo(const AnswerHead& head,
-                  const RequestId& request) const override {
-    return upstream::IsAnswerTo(head, request);
+  const std::string* FindRequestId(const AnswerHead& head) const override {
+    return head.Find("X-Request-Id");
   }
   Result DecodeDispatchAnswer(const Dispatch& /*dispatch*/, AnswerHead head,
                               Body body) const override {
@@ -463,11 +462,6 @@
                  "upstream answered " + std::to_string(head.status));
 }
 
-bool IsAnswerTo(const AnswerHead& head, const RequestId& request) {
-  const std::string* id = head.Find("X-Request-Id");
-  return id == nullptr || *id == request.value;
-}
-
 std::shared_ptr<const UpstreamProtocol> MakeNativeProtocol() {
   return std::make_shared<const NativeProtocol>();
 }
--- a/lib/upstream/upstream_reactor.cc
+++ b/lib/upstream/upstream_reactor.cc
@@ -333,6 +333,7 @@
     this->MakeIdle(connection);
     return;
   }
+  connection.is_first_exchange = connection.history.IsNew();
   exchange->AddTo(connection.history);
   connection.bytes_written_before = connection.http.BytesWritten();
   connection.interim_answers = 0;
@@ -478,11 +479,7 @@
     this->FailExchange(connection, Failure::kBadAnswer, "upstream_bad_answers");
     return false;
   }
-  if (!connection.exchange->Matches(*head)) {
-    this->FailExchange(connection, Failure::kBadAnswer,
-                       "upstream_unmatched_answers");
-    return false;
-  }
+  if (!this->CheckAnswerMatch(connection, *head)) return false;
   input.erase(0, *length);
   if (IsInterim(head->status)) {
     if (++connection.interim_answers <= kMaxInterimAnswers) return true;
@@ -495,17 +492,34 @@
   return true;
 }
 
+bool UpstreamReactor::CheckAnswerMatch(Connection& connection,
+                                       const AnswerHead& head) {
+  connection.answer_match = connection.exchange->Match(head);
+  if (connection.answer_match == AnswerMatch::kOther) {
+    this->FailExchange(connection, Failure::kBadAnswer,
+                       "upstream_unmatched_answers");
+    return false;
+  }
+  // Interim answers bear no id and have no effect.
+  const bool is_doubtful =
+      connection.answer_match == AnswerMatch::kUnidentified &&
+      !connection.is_first_exchange && !IsInterim(head.status);
+  if (!is_doubtful) return true;
+  this->FailExchange(connection, Failure::kBadAnswer,
+                     "upstream_unidentified_answers");
+  return false;
+}
+
 void UpstreamReactor::CompleteExchange(Connection& connection) {
   AnswerHead head = std::move(*connection.answer);
   connection.answer.reset();
   const bool has_extra_input = !connection.http.Input().empty();
-  // An answer to a release does not tell which release it belongs to. A late
-  // second one would end a lease while requests run on its keys, so no other
-  // release uses the connection.
-  const bool may_share = connection.pool.second != TrafficClass::kRevoke;
+  // Where answers bear no id, the next one could be a second answer to this
+  // exchange.
+  const bool is_identified = connection.answer_match == AnswerMatch::kAccepted;
   // If the upstream answers before the whole request is written, the connection
   // must not be reused: the rest would be parsed as another request.
-  const bool is_reusable = may_share && !connection.history.IsFull() &&
+  const bool is_reusable = is_identified && !connection.history.IsFull() &&
                            head.keep_alive && !has_extra_input &&
                            !connection.peer_closed &&
                            !connection.http.HasOutput();
--- a/unittests/platform/protocol_test.cc
+++ b/unittests/platform/protocol_test.cc
@@ -1,7 +1,8 @@
-#include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
 
+#include "bamboorack/upstream/exchange.h"
+#include "catch2/catch.hpp"
 #include "platform/caller_protocol.h"
 #include "platform/settings.h"
 #include "platform/upstream_protocol.h"
@@ -130,8 +131,20 @@
   }
   SECTION("the id tells late answers apart") {
     const auto late = AnswerOf(200, {{"X-Request-Id", "q1"}});
-    CHECK(upstreams->IsAnswerTo(late, RequestId("q1")));
-    CHECK_FALSE(upstreams->IsAnswerTo(late, RequestId("q2")));
+    const std::string* id = upstreams->FindRequestId(late);
+    CHECK(upstream::MatchRequestId(id, RequestId("q1")) ==
+          upstream::AnswerMatch::kAccepted);
+    CHECK(upstream::MatchRequestId(id, RequestId("q2")) ==
+          upstream::AnswerMatch::kOther);
+    CHECK(upstreams->FindRequestId(AnswerOf(200, {})) == nullptr);
+  }
+  SECTION("a request without an id of its caller is sent without one") {
+    Request request;
+    CHECK_FALSE(upstreams->SendsRequestId(request));
+    request.headers = {{"x-request-id", ""}};
+    CHECK_FALSE(upstreams->SendsRequestId(request));
+    request.headers = {{"x-request-id", "q1"}};
+    CHECK(upstreams->SendsRequestId(request));
   }
 }
 
--- a/unittests/upstream/late_answer_test.cc
+++ b/unittests/upstream/late_answer_test.cc
@@ -1,7 +1,8 @@
-#include <catch2/catch.hpp>
 #include <cstdint>
 #include <string>
 
+#include "bamboorack/upstream/upstream_thread.h"
+#include "catch2/catch.hpp"
 #include "support/raw_peer.h"
 #include "upstream/upstream_fixture.h"
 
@@ -123,5 +124,48 @@
   CHECK_THAT(second.ReadMessage(), StartsWith("GET /k1024 "));
 }
 
+// A late second answer without an id matches any request.
+SCENARIO("an answer without an id is taken for the next request's") {
+  Fixture fixture;
+  fixture.Push(fixture.MakeDispatch(1));
+  RawPeer first = fixture.Accept();
+  first.ReadMessage();
+  GIVEN("a connection that has carried another request") {
+    first.Send(Ok("first", IdHeader("r1")));
+    CHECK(fixture.NextResult().result.has_value());
+    fixture.Push(fixture.MakeDispatch(2));
+    CHECK_THAT(first.ReadMessage(), StartsWith("GET /k2 "));
+    WHEN("an answer bears no id") {
+      const auto answer = GENERATE(
+          values({Ok("late"), Ok("late", "X-Request-Id: \r\n"),
+                  std::string("HTTP/1.1 503 Busy\r\nX-Not-Run: shed\r\n"
+                              "Content-Length: 0\r\n\r\n")}));
+      first.Send(answer);
+      THEN("the request ends as unknown and the connection is reset") {
+        const auto result = fixture.NextResult();
+        REQUIRE_FALSE(result.result.has_value());
+        CHECK(result.result.error().ending == Ending::kUnknown);
+        CHECK(result.result.error().reason == Reason::kUpstreamBadAnswer);
+        CHECK(fixture.metrics.CountOf("upstream_unidentified_answers") == 1);
+        CHECK(first.IsResetByPeer());
+      }
+    }
+    WHEN("an interim answer without an id precedes the answer") {
+      first.Send("HTTP/1.1 100 Continue\r\n\r\n" +
+                 Ok("second", IdHeader("r2")));
+      THEN("the answer is delivered") {
+        CHECK(*fixture.NextResult().result->body == "second");
+      }
+    }
+  }
+  GIVEN("a connection that has carried no other request") {
+    first.Send(Ok("first"));
+    THEN("the answer is delivered and the connection not used again") {
+      CHECK(*fixture.NextResult().result->body == "first");
+      CHECK(first.IsClosedByPeer());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace bamboorack::upstream
--- a/unittests/upstream/upstream_codec_test.cc
+++ b/unittests/upstream/upstream_codec_test.cc
@@ -1,9 +1,12 @@
 #include "bamboorack/upstream/upstream_codec.h"
 
-#include <catch2/catch.hpp>
 #include <memory>
 #include <string>
 
+#include "bamboorack/upstream/exchange.h"
+#include "bamboorack/upstream/upstream_protocol.h"
+#include "catch2/catch.hpp"
+
 namespace bamboorack::upstream {
 namespace {
 
@@ -110,11 +113,18 @@
         DecodeAnswerHead(ok + "Content-Length: 999\r\n\r\n", true, 10);
     CHECK(head->body_length == 0);
   }
-  SECTION("an answer with another request id is not accepted") {
+  SECTION("the request id is found, whatever the case of its header") {
     const auto head = DecodeAnswerHead(
         ok + "Content-Length: 0\r\nx-request-id: r1\r\n\r\n", false, 10);
-    CHECK(IsAnswerTo(*head, RequestId("r1")));
-    CHECK_FALSE(IsAnswerTo(*head, RequestId("r2")));
+    const std::string* id = MakeNativeProtocol()->FindRequestId(*head);
+    CHECK(MatchRequestId(id, RequestId("r1")) == AnswerMatch::kAccepted);
+    CHECK(MatchRequestId(id, RequestId("r2")) == AnswerMatch::kOther);
+  }
+  SECTION("an answer without an id, or with an empty one, is unidentified") {
+    const std::string empty;
+    CHECK(MatchRequestId(nullptr, RequestId("r1")) ==
+          AnswerMatch::kUnidentified);
+    CHECK(MatchRequestId(&empty, RequestId("")) == AnswerMatch::kUnidentified);
   }
 }
 
--- a/unittests/upstream/upstream_endless_test.cc
+++ b/unittests/upstream/upstream_endless_test.cc
@@ -40,9 +40,8 @@
     return this->native->EncodeCancel(request, endpoint);
   }
   bool AllowsUnknownLength() const override { return true; }
-  bool IsAnswerTo(const AnswerHead& head,
-                  const RequestId& request) const override {
-    return this->native->IsAnswerTo(head, request);
+  const std::string* FindRequestId(const AnswerHead& head) const override {
+    return this->native->FindRequestId(head);
   }
   Result DecodeDispatchAnswer(const Dispatch& dispatch, AnswerHead head,
                               Body body) const override {
@@ -198,7 +197,8 @@
       for (std::uint64_t id = 2; id < 12; ++id) {
         if (id > 2) fixture.Push(fixture.MakeDispatch(id));
         other.ReadMessage();
-        other.Send(Ok("answer"));
+        other.Send(
+            Ok("answer", "X-Request-Id: r" + std::to_string(id) + "\r\n"));
         auto result = fixture.NextResult();
         if (result.id == DispatchId(1)) result = fixture.NextResult();
         CHECK(result.id == DispatchId(id));
--- a/unittests/upstream/upstream_thread_test.cc
+++ b/unittests/upstream/upstream_thread_test.cc
@@ -54,7 +54,7 @@
 
   SECTION("a complete answer is delivered") {
     upstream.SendByteByByte("HTTP/1.1 100 Continue\r\n\r\n" +
-                            Ok("answer", "X-Own: 1\r\n"));
+                            Ok("answer", "X-Request-Id: r1\r\n"));
     const auto result = fixture.NextResult();
     CHECK(result.id == DispatchId(1));
     CHECK(result.result->status == 200);
@@ -62,7 +62,7 @@
     SECTION("and the next request uses the same connection") {
       fixture.Push(fixture.MakeDispatch(2));
       CHECK_THAT(upstream.ReadMessage(), StartsWith("GET /k2 "));
-      upstream.Send(Ok("second"));
+      upstream.Send(Ok("second", "X-Request-Id: r2\r\n"));
       CHECK(*fixture.NextResult().result->body == "second");
       CHECK_FALSE(fixture.HasNewConnection(milliseconds(0)));
     }
@@ -228,7 +228,7 @@
     }
     SECTION("and it is sent when the first has ended") {
       fixture.Push(std::move(second));
-      upstream.Send(Ok(""));
+      upstream.Send(Ok("", "X-Request-Id: r1\r\n"));
       CHECK_THAT(upstream.ReadMessage(), StartsWith("GET /k2 "));
     }
     SECTION("and the thread stops") {
@@ -259,7 +259,7 @@
     }
   }
   WHEN("it has already ended") {
-    upstream.Send(Ok(""));
+    upstream.Send(Ok("", "X-Request-Id: r1\r\n"));
     CHECK(fixture.NextResult().result.has_value());
     fixture.Push(CancelDispatch{DispatchId(1)});
     THEN("the connection serves the next request") {
