upstream: take a control answer for the call that it belongs to

What could happen: a late second "409" or "421" to one grant was taken for the answer to the next grant on the connection, so the lease of a holder that went on counted as ended, and its keys could be granted to another. A late success could count an unanswered grant as fenced. Only releases had a connection of their own.

Cause: answers to control calls bear no id, and their connections were shared.

Change: a control call has a connection that has carried nothing, as releases had. The exception is a renewal (an answered grant with the same token and no shorter lease), since most calls are renewals: it may use a connection again, and there only a success counts. A wrong success keeps the lease longer in the leader's view, which is safe. A failure counts as no answer, so the next grant has a new token and a connection of its own.

--- a/lib/upstream/exchange.cc
+++ b/lib/upstream/exchange.cc
@@ -166,19 +166,19 @@
     return std::min(this->call.send_before, this->call.deadline);
   }
   MonotonicTime Deadline() const override { return this->call.deadline; }
-  bool MayFollow(const ConnectionHistory& /*history*/) const override {
-    return true;
+  bool MayFollow(const ConnectionHistory& history) const override {
+    return history.IsNew() || this->IsRenewal();
   }
   void AddTo(ConnectionHistory& history) const override {
     history.AddUnidentified();
   }
-  // An answer to a release does not tell which release it belongs to. A late
-  // second one would end a lease while requests run on its keys, so no other
-  // release uses the connection.
-  AnswerMatch Match(const AnswerHead& /*head*/) const override {
-    return this->GetTrafficClass() == TrafficClass::kRevoke
-               ? AnswerMatch::kUnidentified
-               : AnswerMatch::kAccepted;
+  // Answers to control calls bear no id. A renewal that is wrongly taken as
+  // successful leaves the holder its lease for longer, which is safe; a wrong
+  // failure would end the lease.
+  AnswerMatch Match(const AnswerHead& head) const override {
+    constexpr int kOk = 200;
+    return this->IsRenewal() && head.status == kOk ? AnswerMatch::kAccepted
+                                                   : AnswerMatch::kUnidentified;
   }
 
   void Succeed(AnswerHead head, Body body, ResultOutbox& outbox) override {
@@ -195,6 +195,11 @@
   }
 
  private:
+  bool IsRenewal() const {
+    const auto* grant = std::get_if<RangeGrantCall>(&this->call.request);
+    return grant != nullptr && grant->is_renewal;
+  }
+
   // The lease of a range grant starts on arrival, so the caller must know
   // whether the call may still arrive.
   bool IsRangeCall() const {
