bamboorack: refuse an empty value of any option

Change: an empty value of any option or operand is an error that names the option, exit code 2.

Test: test_empty_option_values_are_refused failed before (`--base ""` was accepted).

--- a/tools/bamboorack/command.cc
+++ b/tools/bamboorack/command.cc
@@ -25,6 +25,23 @@
       ->type_name("ADDRESS:PORT");
 }
 
+void RefuseEmptyValues(CLI::App& app) {
+  const CLI::Validator not_empty(
+      [](const std::string& value) {
+        return value.empty() ? std::string("\"\" is not a value")
+                             : std::string();
+      },
+      "");
+  for (CLI::Option* option : app.get_options()) {
+    if (option->get_items_expected_max() > 0) option->check(not_empty);
+  }
+  // The filter also selects option groups, which are unnamed commands.
+  for (CLI::App* command :
+       app.get_subcommands([](CLI::App*) { return true; })) {
+    RefuseEmptyValues(*command);
+  }
+}
+
 ExitCode Fail(ExitCode code, const std::string& message) {
   std::cerr << "bamboorack: " << message << '\n';
   return code;
--- a/tools/bamboorack/command.h
+++ b/tools/bamboorack/command.h
@@ -40,6 +40,10 @@
                                std::optional<Endpoint>& target,
                                const std::string& description);
 
+/// Makes an empty value of any option of `app` and its commands an error. For
+/// an optional number, such as `--base`, CLI11 takes it as an absent option.
+void RefuseEmptyValues(CLI::App& app);
+
 /// Prints `message` to the standard error stream and returns `code`.
 ExitCode Fail(ExitCode code, const std::string& message);
 
--- a/tools/bamboorack/main.cc
+++ b/tools/bamboorack/main.cc
@@ -20,6 +20,7 @@
   bamboorack::tools::AddPublishCommands(app, context);
   bamboorack::tools::AddLogCommands(app, context);
   bamboorack::tools::AddDaemonCommands(app, context);
+  bamboorack::tools::RefuseEmptyValues(app);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
