--- a/include/bamboorack/upstream/messages.h
+++ b/include/bamboorack/upstream/messages.h
@@ -84,8 +84,8 @@
   /// Returned by the last holder when it released the keys. Empty if there is
   /// none; the new holder then starts without cached state.
   Handover handover{};
-  /// The holder has the keys under `token` by an answered grant and its lease
-  /// gets no shorter, so success of this call changes no ownership.
+  /// The holder has the keys under `token` by an answered grant, and its lease
+  /// gets no shorter.
   bool is_renewal = false;
 };
 
--- a/lib/upstream/exchange.cc
+++ b/lib/upstream/exchange.cc
@@ -172,8 +172,8 @@
   void AddTo(ConnectionHistory& history) const override {
     history.AddUnidentified();
   }
-  // Answers to control calls bear no id. A renewal that is wrongly taken as
-  // successful leaves the holder its lease for longer, which is safe; a wrong
+  // Answers to control calls bear no id. A late success that is taken for a
+  // renewal's dates the lease at most from before that call arrived; a late
   // failure would end the lease.
   AnswerMatch Match(const AnswerHead& head) const override {
     constexpr int kOk = 200;
