--- a/unittests/platform/protocol_test.cc
+++ b/unittests/platform/protocol_test.cc
@@ -1,6 +1,7 @@
 #include <chrono>
 #include <string>
 
+#include "bamboorack/operator/settings.h"
 #include "bamboorack/upstream/exchange.h"
 #include "catch2/catch.hpp"
 #include "platform/caller_protocol.h"
@@ -225,6 +226,53 @@
   }
 }
 
+// The template renders the bounds as a table. Read only as a list, all of them
+// were dropped without a message, and a stop broke off requests early.
+SCENARIO("a bound is dropped because of the shape in which it is given") {
+  const auto with = [](const std::string& bounds) {
+    return ReadSettings(R"({"gateway": {"daemon_id": "n_10.0.0.1",
+      "failure_domain": "east", "caller_endpoint": "10.0.0.1:1",
+      "readiness_endpoint": "10.0.0.1:2", "gossip_endpoint": "10.0.0.1:3",
+      "log_endpoint": "10.0.0.2:4"}, "bounds": )" +
+                        bounds + "}");
+  };
+  const auto error_of = [&with](const std::string& bounds) {
+    const auto settings = with(bounds);
+    REQUIRE_FALSE(settings.has_value());
+    return operators::ToText(settings.error());
+  };
+
+  SECTION("a table, as the template renders it") {
+    const auto settings = with(
+        R"({"seed_lag":"3s","drain":"2000ms","grace":"10s","retry_ratio":0.2,
+            "retry_slack":60,"hold_max":"8000ms","thaw":"300ms"})");
+    REQUIRE(settings.has_value());
+    CHECK(settings->stop_time == milliseconds(10'000));
+    CHECK(settings->longest_lease == milliseconds(8'000));
+  }
+  SECTION("a list, as the settings file has it") {
+    const auto settings = with(R"(["grace=10s", "retry_ratio=0.2"])");
+    REQUIRE(settings.has_value());
+    CHECK(settings->stop_time == milliseconds(10'000));
+  }
+  SECTION("no bounds leave the defaults") {
+    const operators::GatewaySettings defaults;
+    REQUIRE(with("null").has_value());
+    CHECK(with("null")->stop_time == defaults.stop_time);
+    CHECK(with("{}")->longest_lease == defaults.longest_lease);
+  }
+  SECTION("any other shape or unit is an error that names it") {
+    CHECK_THAT(error_of(R"("grace=10s")"), Contains("bounds"));
+    CHECK_THAT(error_of("7"), Contains("bounds"));
+    CHECK_THAT(error_of(R"(["grace"])"), Contains("\"grace\""));
+    CHECK_THAT(error_of("[7]"), Contains("\"7\""));
+    CHECK_THAT(error_of(R"({"grace":10})"), Contains("grace: \"10\""));
+    CHECK_THAT(error_of(R"({"grace":null})"), Contains("grace: \"\""));
+    CHECK_THAT(error_of(R"({"grace":{"s":10}})"), Contains("grace"));
+    CHECK_THAT(error_of(R"({"grace":"10"})"), Contains("grace: \"10\""));
+  }
+}
+
 SCENARIO("a setting is missed or read wrongly") {
   const std::string good = R"({"gateway": {"daemon_id": "n_10.0.0.1",
     "failure_domain": "east", "caller_endpoint": "10.0.0.1:1",
