platform: refuse upstream ids that are not visible ASCII

Cause: any bytes passed as an upstream's id. The leader planned keys for it and wrote the id into the ownership record as it was, so the record was no JSON. A daemon whose read of the record fails does not claim, so nobody led again.

It puts each byte through entry, record and back.

--- a/unittests/platform/documents_test.cc
+++ b/unittests/platform/documents_test.cc
@@ -1,9 +1,13 @@
 #include "platform/documents.h"
 
-#include <catch2/catch.hpp>
 #include <chrono>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "bamboorack/upstream/ownership_codec.h"
+#include "catch2/catch.hpp"
 #include "platform/json_reader.h"
 
 namespace bamboorack::platform {
@@ -116,6 +120,42 @@
   }
 }
 
+// An id that is no UTF-8 made the ownership record unreadable, so that no
+// daemon led again after a restart of all; one with a line break got into the
+// head of calls.
+SCENARIO("an upstream's id breaks the ownership record or the head of a call") {
+  const auto documents = MakeDocuments();
+
+  SECTION("an id that is accepted is read back from the record unchanged") {
+    int accepted = 0;
+    for (int byte = 0; byte < 256; ++byte) {
+      const std::string id = std::string("i-") + static_cast<char>(byte);
+      CAPTURE(byte);
+      const auto entry = documents->ReadUpstream(id, kEntry);
+      if (!entry) continue;
+      ++accepted;
+      upstream::OwnershipRecord record;
+      record.services[entry->service] = {
+          {{ShardKey(0), ShardKey(9)}, entry->run, std::nullopt}};
+      const auto read =
+          upstream::DecodeOwnership(upstream::EncodeOwnership(record));
+      REQUIRE(read.has_value());
+      CHECK(read->services == record.services);
+    }
+    CHECK(accepted == '~' - ' ');
+  }
+  SECTION("other ids name no upstream") {
+    for (const std::string id :
+         {"", "\xff\xfe", "i-\xc3\xa9", "i 1", "i\r\nX-Expect-Instance: i-2"}) {
+      CAPTURE(id);
+      CHECK_FALSE(documents->ReadUpstream(id, kEntry).has_value());
+    }
+    CHECK(documents->ReadUpstream(std::string(128, 'i'), kEntry).has_value());
+    CHECK_FALSE(
+        documents->ReadUpstream(std::string(129, 'i'), kEntry).has_value());
+  }
+}
+
 SCENARIO("a time is read with the wrong unit") {
   CHECK(*ParseSpan("250ms") == milliseconds(250));
   CHECK(*ParseSpan("2.5s") == milliseconds(2'500));
