upstream: renewals use the connection of the grant before them

Cause: a grant that is no renewal has a connection of its own, which was closed after its answer, so the next renewal opened another one.

Change: the connection of a grant that succeeded stays open for renewals. A late second success of that grant is no worse there than one of a renewal.

The new scenario failed before (the renewal opened a connection, 2 failed assertions). Unit tests of upstream: 80 test cases pass.

--- a/lib/upstream/exchange.cc
+++ b/lib/upstream/exchange.cc
@@ -172,13 +172,15 @@
   void AddTo(ConnectionHistory& history) const override {
     history.AddUnidentified();
   }
-  // Answers to control calls bear no id. A late success that is taken for a
-  // renewal's dates the lease at most from before that call arrived; a late
-  // failure would end the lease.
+  // Answers to control calls bear no id. A late success of a grant that is
+  // taken for a renewal's dates the lease at most from before that call
+  // arrived; a late failure would end the lease.
   AnswerMatch Match(const AnswerHead& head) const override {
     constexpr int kOk = 200;
-    return this->IsRenewal() && head.status == kOk ? AnswerMatch::kAccepted
-                                                   : AnswerMatch::kUnidentified;
+    const bool is_grant =
+        std::holds_alternative<RangeGrantCall>(this->call.request);
+    return is_grant && head.status == kOk ? AnswerMatch::kAccepted
+                                          : AnswerMatch::kUnidentified;
   }
 
   void Succeed(AnswerHead head, Body body, ResultOutbox& outbox) override {
--- a/unittests/upstream/control_answer_test.cc
+++ b/unittests/upstream/control_answer_test.cc
@@ -46,6 +46,22 @@
   CHECK(NextControlResult(fixture).answer.has_value());
 }
 
+SCENARIO("each renewal after a change of ownership opens a connection") {
+  Fixture fixture;
+  fixture.Push(fixture.MakeCall(1, MakeGrant(1)));
+  RawPeer connection = fixture.Accept();
+  connection.ReadMessage();
+  connection.Send(Ok("{}"));
+  CHECK(NextControlResult(fixture).answer.has_value());
+  RangeGrantCall renewal = MakeGrant(1);
+  renewal.is_renewal = true;
+  fixture.Push(fixture.MakeCall(2, renewal));
+  connection.ReadMessage();
+  connection.Send(Ok("{}"));
+  CHECK(NextControlResult(fixture).answer.has_value());
+  CHECK_FALSE(fixture.HasNewConnection(milliseconds(0)));
+}
+
 SCENARIO("a second answer to a control call is taken for a renewal's") {
   Fixture fixture;
   RangeGrantCall renewal = MakeGrant(1);
