upstream: grants share connections again, only late failures are refused

Cause: gave each grant that is no renewal a connection of its own.

Change: grants share open connections. On one that was used before, a failure (409, 421) still does not count: the connection is reset and the grant counts as unanswered, so it is sent again elsewhere. That is the direction that can end the lease of a holder which goes on. The scenarios of control_answer_test keep all their checks, now for every grant.

Open, in docs/proofs.md: a late success is taken for the next grant's on the connection, as before.

--- a/include/bamboorack/upstream/messages.h
+++ b/include/bamboorack/upstream/messages.h
@@ -84,9 +84,6 @@
   /// Returned by the last holder when it released the keys. Empty if there is
   /// none; the new holder then starts without cached state.
   Handover handover{};
-  /// The holder has the keys under `token` by an answered grant, and its lease
-  /// gets no shorter.
-  bool is_renewal = false;
 };
 
 /// Takes back the keys of `range`. The upstream answers once no request on
--- a/lib/upstream/exchange.cc
+++ b/lib/upstream/exchange.cc
@@ -166,21 +166,22 @@
     return std::min(this->call.send_before, this->call.deadline);
   }
   MonotonicTime Deadline() const override { return this->call.deadline; }
+  // Under overload an upstream resets new connections, so grants share those
+  // that are open.
   bool MayFollow(const ConnectionHistory& history) const override {
-    return history.IsNew() || this->IsRenewal();
+    return history.IsNew() || this->IsRangeGrant();
   }
   void AddTo(ConnectionHistory& history) const override {
     history.AddUnidentified();
   }
-  // Answers to control calls bear no id. A late success of a grant that is
-  // taken for a renewal's dates the lease at most from before that call
-  // arrived; a late failure would end the lease.
+  // Answers to control calls bear no id. A late failure that is taken for the
+  // answer to another grant would end the lease of a holder that goes on. A
+  // late success only dates the lease from before that grant arrived.
   AnswerMatch Match(const AnswerHead& head) const override {
     constexpr int kOk = 200;
-    const bool is_grant =
-        std::holds_alternative<RangeGrantCall>(this->call.request);
-    return is_grant && head.status == kOk ? AnswerMatch::kAccepted
-                                          : AnswerMatch::kUnidentified;
+    return this->IsRangeGrant() && head.status == kOk
+               ? AnswerMatch::kAccepted
+               : AnswerMatch::kUnidentified;
   }
 
   void Succeed(AnswerHead head, Body body, ResultOutbox& outbox) override {
@@ -197,15 +198,14 @@
   }
 
  private:
-  bool IsRenewal() const {
-    const auto* grant = std::get_if<RangeGrantCall>(&this->call.request);
-    return grant != nullptr && grant->is_renewal;
+  bool IsRangeGrant() const {
+    return std::holds_alternative<RangeGrantCall>(this->call.request);
   }
 
   // The lease of a range grant starts on arrival, so the caller must know
   // whether the call may still arrive.
   bool IsRangeCall() const {
-    return std::holds_alternative<RangeGrantCall>(this->call.request) ||
+    return this->IsRangeGrant() ||
            std::holds_alternative<RangeReleaseCall>(this->call.request);
   }
 
--- a/lib/upstream/range_lease_manager_calls.cc
+++ b/lib/upstream/range_lease_manager_calls.cc
@@ -38,8 +38,7 @@
 void RangeLeaseManager::SendGrant(const ServiceName& service, Range& range,
                                   const UpstreamRun& to) {
   const bool is_first = range.phase == Phase::kGranting;
-  const bool is_unsettled = range.has_unanswered_grant || is_first;
-  if (is_unsettled) range.token = this->IssueToken();
+  if (range.has_unanswered_grant || is_first) range.token = this->IssueToken();
   range.call_lease =
       this->outage_expected ? this->leases.longest : this->leases.ordinary;
   range.previous_may_hold_until = range.may_hold_until;
@@ -48,13 +47,9 @@
                this->rules.lease_end(this->step_time + kMaxCallTransit,
                                      range.call_lease));
   range.has_longest_lease = this->outage_expected;
-  const bool shortens =
-      this->rules.lease_end(this->step_time, range.call_lease) <
-      range.previous_may_hold_until;
   this->Send(service, range, to,
              RangeGrantCall{to.id, range.keys, range.token, range.call_lease,
-                            is_first ? range.handover : Handover(),
-                            !is_unsettled && !shortens},
+                            is_first ? range.handover : Handover()},
              this->step_time + kGrantTimeout);
 }
 
