upstream: say what a late success of a grant can do, NFC

The comment said that it only dates the lease from too early. It also lets an unanswered grant before it count as fenced, as docs/proofs.md says; that is open. Unit tests of upstream pass: 79 test cases.

--- a/lib/upstream/exchange.cc
+++ b/lib/upstream/exchange.cc
@@ -166,8 +166,8 @@
     return std::min(this->call.send_before, this->call.deadline);
   }
   MonotonicTime Deadline() const override { return this->call.deadline; }
-  // Under overload an upstream resets new connections, so grants share those
-  // that are open.
+  // With a connection for each grant, upstreams under overload more often did
+  // not hold the keys that requests came for, so grants share connections.
   bool MayFollow(const ConnectionHistory& history) const override {
     return history.IsNew() || this->IsRangeGrant();
   }
@@ -176,7 +176,9 @@
   }
   // Answers to control calls bear no id. A late failure that is taken for the
   // answer to another grant would end the lease of a holder that goes on. A
-  // late success only dates the lease from before that grant arrived.
+  // late success still counts: it dates the lease from before that grant
+  // arrived and lets an unanswered one before it count as fenced
+  // (docs/proofs.md).
   AnswerMatch Match(const AnswerHead& head) const override {
     constexpr int kOk = 200;
     return this->IsRangeGrant() && head.status == kOk
--- a/unittests/upstream/control_answer_test.cc
+++ b/unittests/upstream/control_answer_test.cc
@@ -53,8 +53,8 @@
   connection.ReadMessage();
   connection.Send(Ok("{}"));
   CHECK(NextControlResult(fixture).answer.has_value());
-  const RangeGrantCall renewal = MakeGrant(1);
-  fixture.Push(fixture.MakeCall(2, renewal));
+  const RangeGrantCall grant = MakeGrant(1);
+  fixture.Push(fixture.MakeCall(2, grant));
   connection.ReadMessage();
   connection.Send(Ok("{}"));
   CHECK(NextControlResult(fixture).answer.has_value());
@@ -63,15 +63,15 @@
 
 SCENARIO("a second answer to a control call is taken for a grant's") {
   Fixture fixture;
-  const RangeGrantCall renewal = MakeGrant(1);
-  fixture.Push(fixture.MakeCall(1, renewal));
+  const RangeGrantCall grant = MakeGrant(1);
+  fixture.Push(fixture.MakeCall(1, grant));
   RawPeer connection = fixture.Accept();
   connection.ReadMessage();
   connection.Send(Ok("{}"));
   CHECK(NextControlResult(fixture).answer.has_value());
-  fixture.Push(fixture.MakeCall(2, renewal));
+  fixture.Push(fixture.MakeCall(2, grant));
   connection.ReadMessage();
-  SECTION("a success only makes the lease longer, so the connection is kept") {
+  SECTION("a success counts, and the connection is kept") {
     connection.Send(Ok("{}"));
     CHECK(NextControlResult(fixture).answer.has_value());
     CHECK_FALSE(fixture.HasNewConnection(milliseconds(0)));
