core, upstream: bound the memory of all answers together

Cause: each answer was bounded by 64 MiB and nothing bounded their sum. Besides, growing strings took up twice their bytes, input buffers kept the size of the largest message, and the allocator kept freed blocks of up to 32 MiB.

Change: a budget of the process with a share for each use, taken from the platform's memory_mb. A reservation ends with the last owner of its body. An answer of known length is reserved before it is read; of those without, the largest is cut when they hold more than half of the share, and its upstream counts as failed. Otherwise large answers stay unread until others have been passed on. The rest of the reading of answers moves to a file of its own.

An error of a fixed bound, the largest answer to a control call, is 1 MiB now.

--- a/include/bamboorack/core/http_body.h
+++ b/include/bamboorack/core/http_body.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <tl/expected.hpp>
 #include <vector>
 
@@ -52,10 +53,23 @@
   /// Returns the whole body. Valid once after `kComplete`.
   std::string Take() { return std::move(this->body); }
   std::size_t Size() const { return this->body.size(); }
+  /// Bytes that the body takes up in memory.
+  std::size_t Capacity() const { return this->body.capacity(); }
+  /// Bytes that it takes up at most while `Feed` takes up to `more` bytes. A
+  /// body of a known length has its whole length from the start; another one
+  /// is copied when it grows.
+  std::size_t CapacityDuring(std::size_t more) const;
+  bool HasKnownLength() const {
+    return this->frame.framing == BodyFraming::kLength;
+  }
 
  private:
   enum class ChunkPart : std::uint8_t { kSizeLine, kData, kDataEnd, kTrailer };
 
+  /// Returns the capacity after room was made for `wanted` bytes in all.
+  std::size_t GrownCapacity(std::size_t wanted) const;
+  /// Appends bytes of a body whose length is not known.
+  void Append(std::string_view bytes);
   Status FeedLength(std::string& input);
   Status FeedChunked(std::string& input);
   Status FeedUntilClose(std::string& input);
--- a/include/bamboorack/core/http_connection.h
+++ b/include/bamboorack/core/http_connection.h
@@ -47,6 +47,10 @@
     kFailed,
   };
 
+  /// Up to this size, in bytes, a body is copied behind its head, which saves a
+  /// send call.
+  static constexpr std::size_t kMaxJoinedBody = 16'384;
+
   /// Makes `socket` non-blocking and sends small messages without delay.
   explicit HttpConnection(const Poco::Net::StreamSocket& stream);
 
@@ -57,6 +61,9 @@
   IoStatus ReadAndDiscard();
   /// The bytes that were read and not yet taken.
   std::string& Input() { return this->input; }
+  /// Frees the memory of the input if all of it was taken. Otherwise each
+  /// connection would keep as much as one large message needed.
+  void ReleaseSpareInput();
 
   /// Appends to the output. Sends nothing.
   void Queue(HttpBytes message);
--- a/include/bamboorack/core/metrics.h
+++ b/include/bamboorack/core/metrics.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <iosfwd>
 #include <map>
 #include <memory>
@@ -35,6 +36,9 @@
   void Count(std::string_view name, std::uint64_t amount = 1);
   /// Sets a value that may go down; becomes `bamboorack_<name>`.
   void SetGauge(std::string_view name, double value);
+  /// Adds a gauge whose value is read for each `ToPrometheusText`, by any
+  /// thread. `source` must stay valid as long as this object.
+  void AddGauge(std::string name, std::function<double()> source);
   /// Adds one answered request to the histogram of its rank and ending.
   void ObserveLatency(Rank rank, Ending ending,
                       std::chrono::nanoseconds latency);
@@ -59,6 +63,7 @@
   mutable std::mutex mutex;
   std::map<std::string, std::uint64_t, std::less<>> counters;
   std::map<std::string, double, std::less<>> gauges;
+  std::map<std::string, std::function<double()>> gauge_sources;
   std::unique_ptr<Histograms> histograms;
 };
 
--- a/include/bamboorack/core/reason.h
+++ b/include/bamboorack/core/reason.h
@@ -43,6 +43,7 @@
   kRetryBudgetEmpty,
   kStopping,
   kCancelled,
+  kUpstreamAnswerCut,
 };
 
 /// One row of the table of reasons.
@@ -85,6 +86,7 @@
     ReasonInfo{Reason::kRetryBudgetEmpty, "retry_budget_empty", 503},
     ReasonInfo{Reason::kStopping, "stopping", 503},
     ReasonInfo{Reason::kCancelled, "cancelled", 499},
+    ReasonInfo{Reason::kUpstreamAnswerCut, "upstream_answer_cut", 502},
 };
 
 inline constexpr std::size_t kReasonCount = kReasons.size();
--- a/include/bamboorack/daemon/router_policy.h
+++ b/include/bamboorack/daemon/router_policy.h
@@ -59,6 +59,7 @@
     FailurePolicy{Reason::kUpstreamShed, FailureAction::kRetry, true},
     FailurePolicy{Reason::kUpstreamLost, FailureAction::kPauseAndRetry, false},
     FailurePolicy{Reason::kUpstreamBadAnswer, FailureAction::kRetry, false},
+    FailurePolicy{Reason::kUpstreamAnswerCut, FailureAction::kRetry, false},
     FailurePolicy{Reason::kUpstreamDraining, FailureAction::kAwaitTableAndRetry,
                   false},
     FailurePolicy{Reason::kUpstreamRefusedToken,
--- a/include/bamboorack/operator/gateway_settings.h
+++ b/include/bamboorack/operator/gateway_settings.h
@@ -28,6 +28,9 @@
   std::chrono::milliseconds stop_time{6'000};
   /// Rate of the VM's network link in megabits a second; 0 if not known.
   std::uint32_t link_mbps = 0;
+  /// Memory that the process may use before it is killed, in megabytes; 0 if
+  /// not known.
+  std::uint32_t memory_mb = 0;
   /// Open connections of callers.
   std::uint32_t caller_connections = 4'096;
   /// Open connections for requests to one upstream.
--- a/include/bamboorack/operator/settings.h
+++ b/include/bamboorack/operator/settings.h
@@ -20,6 +20,8 @@
   std::uint32_t connections_per_upstream = 130;
   /// Items in each ring between two threads.
   std::uint32_t ring_capacity = 4096;
+  /// Memory that the process may use, in megabytes; 0 if not known.
+  std::uint32_t memory_mb = 0;
 
   bool operator==(const Limits&) const = default;
 };
--- a/include/bamboorack/upstream/exchange.h
+++ b/include/bamboorack/upstream/exchange.h
@@ -33,6 +33,8 @@
   kDeadlinePassed,
   kCancelled,
   kStopping,
+  /// The answer took up more memory than there is for it.
+  kAnswerCut,
 };
 
 /// Whether an answer may be taken for the answer to an exchange.
@@ -97,6 +99,8 @@
   virtual bool MayFollow(const ConnectionHistory& history) const = 0;
   /// Adds the exchange to the history of its connection.
   virtual void AddTo(ConnectionHistory& history) const = 0;
+  /// Limit of the answer's body in bytes, at most `limit`.
+  virtual std::size_t MaxAnswerBody(std::size_t limit) const { return limit; }
   virtual AnswerMatch Match(const AnswerHead& head) const = 0;
   virtual void Succeed(AnswerHead head, Body body, ResultOutbox& outbox) = 0;
   /// `was_written` is true if any byte of the request was written to the
--- a/include/bamboorack/upstream/upstream_reactor.h
+++ b/include/bamboorack/upstream/upstream_reactor.h
@@ -17,6 +17,7 @@
 
 #include "bamboorack/core/bounded_ring.h"
 #include "bamboorack/core/http_connection.h"
+#include "bamboorack/core/memory_budget.h"
 #include "bamboorack/core/metrics.h"
 #include "bamboorack/core/poll_reactor.h"
 #include "bamboorack/upstream/connection_history.h"
@@ -67,12 +68,26 @@
     std::optional<AnswerHead> answer;
     /// Valid while `answer` is set.
     BodyReader body;
+    /// The memory of the answer.
+    MemoryReservation reservation;
+    std::size_t head_bytes = 0;
+    /// The rest of the answer stays unread until there is memory for it.
+    bool is_awaiting_memory = false;
     AnswerMatch answer_match = AnswerMatch::kOther;
     /// How long the upstream keeps an idle connection open, from its last
     /// answer; if unset, the `idle_timeout` setting applies alone.
     std::optional<std::chrono::milliseconds> keep_alive_timeout;
   };
 
+  /// Whether there is memory for the bytes of an answer that have come.
+  enum class MemoryGrant : std::uint8_t {
+    kGranted,
+    /// When other answers have been passed on.
+    kLater,
+    /// The answer has to be cut.
+    kNever,
+  };
+
   /// The connections of one traffic class to one upstream.
   struct Pool {
     std::size_t open = 0;
@@ -129,7 +144,7 @@
   void StartExchange(Connection& connection,
                      std::unique_ptr<Exchange> exchange);
   /// Polls for input, and also for output while some is pending.
-  void WatchExchange(const Connection& connection);
+  void WatchExchange(Connection& connection);
   void MakeIdle(Connection& connection);
   void Close(Connection& connection);
 
@@ -147,6 +162,21 @@
   /// Returns false, and fails the exchange, if the answer is not to be taken
   /// for the one that is due.
   bool CheckAnswerMatch(Connection& connection, const AnswerHead& head);
+  /// Reserves memory for the part of the body that has come. Cuts other answers
+  /// if that is what makes room, see `FindAnswerToCut`.
+  MemoryGrant ReserveBody(Connection& connection);
+  /// Returns the largest answer whose length is not known, or null if such
+  /// answers take up no more than half of the memory for large answers.
+  Connection* FindAnswerToCut();
+  /// Fails the exchange: its answer takes up too much memory.
+  void CutAnswer(Connection& connection);
+  /// Goes on with the answers that wait for memory, oldest first, if some was
+  /// released.
+  void ResumeAnswers();
+  /// Fails the exchange if its connection has ended, or waits for more.
+  void EndOrWatch(Connection& connection, bool has_ended);
+  /// Returns the body of the answer with the memory that is reserved for it.
+  Body TakeBody(Connection& connection);
   void CompleteExchange(Connection& connection);
   /// Fails the exchange because of an incomplete or malformed body.
   void FailBody(Connection& connection);
@@ -166,6 +196,13 @@
   std::unordered_map<Key, std::unique_ptr<Exchange>> waiting;
   /// Maps each dispatch to its key in `connections` or `waiting`.
   std::unordered_map<DispatchId, Key> dispatches;
+  /// Connections whose answers wait for memory, oldest first. May name some
+  /// that are closed.
+  std::vector<Key> awaiting_memory;
+  /// Set by the threads that release memory. Shared, since these may outlive
+  /// this object.
+  std::shared_ptr<std::atomic<bool>> memory_released =
+      std::make_shared<std::atomic<bool>>(false);
   std::size_t active_exchanges = 0;
   std::atomic<MonotonicTime::rep> stop_deadline;
 };
--- a/include/bamboorack/upstream/upstream_thread.h
+++ b/include/bamboorack/upstream/upstream_thread.h
@@ -8,6 +8,7 @@
 #include <tl/expected.hpp>
 
 #include "bamboorack/core/bounded_ring.h"
+#include "bamboorack/core/memory_budget.h"
 #include "bamboorack/core/metrics.h"
 #include "bamboorack/core/time.h"
 #include "bamboorack/upstream/messages.h"
@@ -28,6 +29,10 @@
   /// Limit of an answer body in bytes. Larger answers are refused with
   /// `upstream_bad_answer`.
   std::size_t max_answer_body = 67'108'864;
+  /// Bounds the memory that all answers together take up. Never null. The
+  /// thread sets the wakers of `kAnswers` and `kLargeAnswers`.
+  std::shared_ptr<MemoryBudget> memory =
+      std::make_shared<MemoryBudget>(ShareMemory(kDefaultProcessMemory));
   std::shared_ptr<const UpstreamProtocol> protocol = MakeNativeProtocol();
 };
 
--- a/lib/core/http_body.cc
+++ b/lib/core/http_body.cc
@@ -19,6 +19,12 @@
 // The digits of the largest chunk size.
 constexpr std::size_t kSizeDigits = 16;
 constexpr std::string_view kLineEnd = "\r\n";
+// A body of unknown length doubles its memory up to the second of these, and
+// then grows by a quarter: doubled, as `std::string` does it, a large one would
+// take up twice the bytes that came.
+constexpr std::size_t kMinGrowth = 1'024;
+constexpr std::size_t kMaxDoubling = 65'536;
+constexpr std::size_t kGrowthDivisor = 4;
 
 std::optional<std::size_t> ParseChunkSize(std::string_view line) {
   const std::string_view digits =
@@ -81,10 +87,40 @@
                                                          : Status::kMalformed;
 }
 
+std::size_t BodyReader::CapacityDuring(std::size_t more) const {
+  if (this->HasKnownLength()) {
+    return std::max(this->frame.length, this->body.capacity());
+  }
+  const std::size_t wanted = this->body.size() + more;
+  if (wanted <= this->body.capacity()) return this->body.capacity();
+  return this->body.capacity() + this->GrownCapacity(wanted);
+}
+
+std::size_t BodyReader::GrownCapacity(std::size_t wanted) const {
+  const std::size_t now = this->body.capacity();
+  const std::size_t growth =
+      std::max(now / kGrowthDivisor, std::clamp(now, kMinGrowth, kMaxDoubling));
+  return std::max(wanted, std::min(now + growth, this->max_body));
+}
+
+void BodyReader::Append(std::string_view bytes) {
+  const std::size_t wanted = this->body.size() + bytes.size();
+  if (wanted > this->body.capacity()) {
+    // `reserve` on a string with bytes doubles its capacity.
+    std::string grown;
+    grown.reserve(this->GrownCapacity(wanted));
+    grown.append(this->body);
+    this->body = std::move(grown);
+  }
+  this->body.append(bytes);
+}
+
 BodyReader::Status BodyReader::FeedLength(std::string& input) {
   if (this->frame.length > this->max_body) return Status::kTooLarge;
   const std::size_t wanted = this->frame.length - this->body.size();
-  if (this->body.empty() && input.size() == wanted) {
+  // Input with much spare capacity would keep it as long as the body lives.
+  const bool is_tight = input.capacity() / 2 <= wanted;
+  if (this->body.empty() && input.size() == wanted && is_tight) {
     this->body = std::move(input);
     input.clear();
     return Status::kComplete;
@@ -97,7 +133,7 @@
 }
 
 BodyReader::Status BodyReader::FeedUntilClose(std::string& input) {
-  this->body.append(input);
+  this->Append(input);
   input.clear();
   return this->body.size() > this->max_body ? Status::kTooLarge
                                             : Status::kIncomplete;
@@ -161,7 +197,7 @@
 BodyReader::Status BodyReader::TakeChunkData(const std::string& input,
                                              std::size_t& position) {
   const std::size_t taken = std::min(this->chunk_left, input.size() - position);
-  this->body.append(input, position, taken);
+  this->Append(std::string_view(input).substr(position, taken));
   position += taken;
   this->chunk_left -= taken;
   if (this->chunk_left == 0) this->part = ChunkPart::kDataEnd;
--- a/lib/core/http_connection.cc
+++ b/lib/core/http_connection.cc
@@ -17,8 +17,15 @@
 // Four full reads for each event bound the time that one fast sender takes
 // from the other connections.
 constexpr int kReadsPerEvent = 4;
-// Up to this size a body is copied behind its head, which saves a send call.
-constexpr std::size_t kJoinedBody = 16'384;
+// Up to this size the memory of the input is kept for the next message.
+constexpr std::size_t kKeptInput = 4'096;
+
+/// A head with its body behind it. Keeps the body itself, since its memory is
+/// accounted for as long as somebody has it.
+struct JoinedMessage {
+  std::string bytes;
+  Body body;
+};
 
 // POCO takes a lone line feed for a line end and skips lines without a colon.
 // A peer that counts lines differently could see another message than this
@@ -134,15 +141,17 @@
 
 void HttpConnection::Queue(HttpBytes message) {
   const bool has_body = message.body != nullptr && !message.body->empty();
-  if (has_body && message.body->size() <= kJoinedBody) {
-    message.head.append(*message.body);
-    message.body = nullptr;
-  }
-  this->output.push_back(
-      std::make_shared<const std::string>(std::move(message.head)));
-  if (has_body && message.body != nullptr) {
-    this->output.push_back(std::move(message.body));
-  }
+  const bool is_joined = has_body && message.body->size() <= kMaxJoinedBody;
+  if (is_joined) message.head.append(*message.body);
+  const auto first = std::make_shared<const JoinedMessage>(
+      JoinedMessage{std::move(message.head), message.body});
+  this->output.emplace_back(first, &first->bytes);
+  if (has_body && !is_joined) this->output.push_back(std::move(message.body));
+}
+
+void HttpConnection::ReleaseSpareInput() {
+  if (!this->input.empty() || this->input.capacity() <= kKeptInput) return;
+  std::string().swap(this->input);
 }
 
 HttpConnection::IoStatus HttpConnection::Write() {
--- a/lib/core/metrics.cc
+++ b/lib/core/metrics.cc
@@ -4,6 +4,7 @@
 #include <boost/histogram.hpp>
 #include <cmath>
 #include <sstream>
+#include <utility>
 #include <vector>
 
 namespace bamboorack {
@@ -39,6 +40,11 @@
   return IndexOf(rank) * kEndingNames.size() + static_cast<std::size_t>(ending);
 }
 
+void WriteGauge(const std::string& name, double value, std::ostream& out) {
+  out << "# TYPE bamboorack_" << name << " gauge\n"
+      << "bamboorack_" << name << ' ' << value << '\n';
+}
+
 }  // namespace
 
 struct Metrics::Histograms {
@@ -82,6 +88,11 @@
   this->gauges.insert_or_assign(std::string(name), value);
 }
 
+void Metrics::AddGauge(std::string name, std::function<double()> source) {
+  const std::lock_guard lock(this->mutex);
+  this->gauge_sources.insert_or_assign(std::move(name), std::move(source));
+}
+
 void Metrics::ObserveLatency(Rank rank, Ending ending,
                              std::chrono::nanoseconds latency) {
   const std::chrono::duration<double, std::micro> microseconds = latency;
@@ -145,9 +156,9 @@
     out << "# TYPE bamboorack_" << name << "_total counter\n"
         << "bamboorack_" << name << "_total " << value << '\n';
   }
-  for (const auto& [name, value] : this->gauges) {
-    out << "# TYPE bamboorack_" << name << " gauge\n"
-        << "bamboorack_" << name << ' ' << value << '\n';
+  for (const auto& [name, value] : this->gauges) WriteGauge(name, value, out);
+  for (const auto& [name, source] : this->gauge_sources) {
+    WriteGauge(name, source(), out);
   }
   out << "# TYPE bamboorack_latency_seconds histogram\n";
   for (const Rank rank : kRanks) {
--- a/lib/daemon/daemon.cc
+++ b/lib/daemon/daemon.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "bamboorack/caller/caller_thread.h"
+#include "bamboorack/core/memory_budget.h"
 #include "bamboorack/core/metrics.h"
 #include "bamboorack/daemon/cluster_controller.h"
 #include "bamboorack/daemon/control_thread.h"
@@ -39,10 +40,12 @@
 }
 
 upstream::UpstreamThreadSettings UpstreamSettings(
-    const operators::Settings& settings) {
+    const operators::Settings& settings,
+    const std::shared_ptr<MemoryBudget>& memory) {
   upstream::UpstreamThreadSettings upstream_settings;
   upstream_settings.connections_per_upstream =
       settings.limits.connections_per_upstream;
+  upstream_settings.memory = memory;
   return upstream_settings;
 }
 
@@ -58,9 +61,10 @@
                    [] { return RecordId(MakeRandomId()); }),
         control(controller, rings),
         routing(settings.daemon_id, rings, metrics),
+        memory(MakeMemoryBudget(settings.limits.memory_mb, metrics)),
         callers(CallerSettings(settings), rings.caller_to_routing,
                 rings.routing_to_caller, metrics),
-        upstreams(UpstreamSettings(settings), rings.to_upstream,
+        upstreams(UpstreamSettings(settings, memory), rings.to_upstream,
                   rings.upstream_to_routing, rings.upstream_to_control,
                   metrics),
         peers({settings.daemon_id, identity.instance, settings.peer_endpoint},
@@ -122,6 +126,7 @@
   ClusterController controller;
   ControlThread control;
   RoutingThread routing;
+  std::shared_ptr<MemoryBudget> memory;
   caller::CallerThread callers;
   upstream::UpstreamThread upstreams;
   peer::PeerThread peers;
--- a/lib/daemon/gateway.cc
+++ b/lib/daemon/gateway.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "bamboorack/caller/caller_thread.h"
+#include "bamboorack/core/memory_budget.h"
 #include "bamboorack/core/metrics.h"
 #include "bamboorack/daemon/gateway_rings.h"
 #include "bamboorack/daemon/gateway_router_thread.h"
@@ -65,13 +66,15 @@
 }
 
 upstream::UpstreamThreadSettings MakeUpstreamSettings(
-    const operators::GatewaySettings& settings, const GatewayAdapter& adapter) {
+    const operators::GatewaySettings& settings, const GatewayAdapter& adapter,
+    const std::shared_ptr<MemoryBudget>& memory) {
   upstream::UpstreamThreadSettings upstream_settings;
   upstream_settings.connections_per_upstream =
       settings.connections_per_upstream;
   upstream_settings.idle_timeout = kUpstreamIdleTimeout;
   upstream_settings.connect_timeout = kConnectTimeout;
   upstream_settings.protocol = adapter.upstreams;
+  upstream_settings.memory = memory;
   return upstream_settings;
 }
 
@@ -100,11 +103,12 @@
         ownership(controller, rings, log, metrics),
         routing({settings.daemon_id, settings.failure_domain}, rings, log,
                 metrics),
-        callers(MakeCallerSettings(settings, adapter), rings.caller_to_routing,
-                rings.routing_to_caller, metrics),
-        upstreams(MakeUpstreamSettings(settings, adapter), rings.to_upstream,
-                  rings.upstream_to_routing, rings.upstream_to_control,
-                  metrics),
+        memory(MakeMemoryBudget(settings.memory_mb, metrics)),
+        callers(MakeCallerSettings(settings, adapter),
+                rings.caller_to_routing, rings.routing_to_caller, metrics),
+        upstreams(MakeUpstreamSettings(settings, adapter, memory),
+                  rings.to_upstream, rings.upstream_to_routing,
+                  rings.upstream_to_control, metrics),
         gossip({settings.daemon_id, instance, settings.gossip_endpoint},
                rings.to_gossip, rings.gossip_to_routing,
                rings.gossip_to_control, metrics),
@@ -181,6 +185,7 @@
   OwnershipController controller;
   OwnershipThread ownership;
   GatewayRouterThread routing;
+  std::shared_ptr<MemoryBudget> memory;
   caller::CallerThread callers;
   upstream::UpstreamThread upstreams;
   peer::GossipThread gossip;
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -1,10 +1,12 @@
 #include "bamboorack/daemon/gateway_router.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "bamboorack/core/hash.h"
 #include "bamboorack/core/http_text.h"
+#include "bamboorack/daemon/router_policy.h"
 
 namespace bamboorack::daemon {
 namespace {
@@ -37,6 +39,10 @@
 constexpr std::chrono::seconds kPeerTimeout{3};
 constexpr milliseconds kKeepaliveInterval{700};
 
+/// Answers that cannot be passed on, and count against the upstream.
+constexpr std::array kFailedAnswers = {Reason::kUpstreamBadAnswer,
+                                       Reason::kUpstreamAnswerCut};
+
 UpstreamOutcome OutcomeOf(const Result& result) {
   if (result) {
     return result->status >= 500 ? UpstreamOutcome::kFailed
@@ -52,10 +58,8 @@
   if (refusal.reason == Reason::kUpstreamReplaced) {
     return UpstreamOutcome::kReplaced;
   }
-  if (refusal.reason == Reason::kUpstreamBadAnswer) {
-    return UpstreamOutcome::kFailed;
-  }
-  return UpstreamOutcome::kNeutral;
+  return Contains(kFailedAnswers, refusal.reason) ? UpstreamOutcome::kFailed
+                                                  : UpstreamOutcome::kNeutral;
 }
 
 /// Returns the key of a request. Requests without a valid key are spread by the
--- a/lib/operator/gateway_settings.cc
+++ b/lib/operator/gateway_settings.cc
@@ -28,6 +28,7 @@
                                            kLeaseRange),
     Field<&GatewaySettings::stop_time>("stop_ms", kOptional, kStopRange),
     Field<&GatewaySettings::link_mbps>("link_mbps", kOptional, {0, 10'000'000}),
+    Field<&GatewaySettings::memory_mb>("memory_mb", kOptional, {0, 10'000'000}),
     Field<&GatewaySettings::caller_connections>("caller_connections", kOptional,
                                                 {1, 60'000}),
     Field<&GatewaySettings::connections_per_upstream>(
--- a/lib/operator/request_history.cc
+++ b/lib/operator/request_history.cc
@@ -105,6 +105,8 @@
     CauseRow{"upstream_replaced", "Another upstream had the address."},
     CauseRow{"upstream_bad_answer",
              "The answer broke the protocol or belonged to another request."},
+    CauseRow{"upstream_answer_cut",
+             "The answer took up more memory than the daemon has for answers."},
     CauseRow{"retry_budget_empty",
              "The first attempt failed, and the retries of all daemons were "
              "used up."},
--- a/lib/operator/settings.cc
+++ b/lib/operator/settings.cc
@@ -18,7 +18,8 @@
                                        {1, 60'000}),
     Field<&Limits::connections_per_upstream>("connections_per_upstream",
                                              kOptional, {1, 10'000}),
-    Field<&Limits::ring_capacity>("ring_capacity", kOptional, {16, 1'000'000})};
+    Field<&Limits::ring_capacity>("ring_capacity", kOptional, {16, 1'000'000}),
+    Field<&Limits::memory_mb>("memory_mb", kOptional, {0, 10'000'000})};
 
 }  // namespace
 
--- a/lib/upstream/exchange.cc
+++ b/lib/upstream/exchange.cc
@@ -17,7 +17,7 @@
 };
 
 // Indexed by failure.
-constexpr std::array<FailureMapping, 7> kFailures = {
+constexpr std::array<FailureMapping, 8> kFailures = {
     FailureMapping{Failure::kConnectFailed, Reason::kUpstreamLost,
                    "cannot connect to the upstream",
                    ControlError::kUnreachable},
@@ -34,7 +34,13 @@
     FailureMapping{Failure::kCancelled, Reason::kCancelled, "cancelled",
                    ControlError::kUnreachable},
     FailureMapping{Failure::kStopping, Reason::kStopping, "the daemon stops",
-                   ControlError::kUnreachable}};
+                   ControlError::kUnreachable},
+    FailureMapping{Failure::kAnswerCut, Reason::kUpstreamAnswerCut,
+                   "answer takes up too much memory",
+                   ControlError::kBadAnswer}};
+
+// Answers to control calls name at most all shards of a service.
+constexpr std::size_t kMaxControlAnswer = 1'048'576;
 
 // Indexed by the alternatives of `ControlRequest`.
 constexpr std::array<TrafficClass, std::variant_size_v<ControlRequest>>
@@ -174,6 +180,9 @@
   void AddTo(ConnectionHistory& history) const override {
     history.AddUnidentified();
   }
+  std::size_t MaxAnswerBody(std::size_t limit) const override {
+    return std::min(limit, kMaxControlAnswer);
+  }
   // Answers to control calls bear no id. A late failure that is taken for the
   // answer to another grant would end the lease of a holder that goes on. A
   // late success still counts: it dates the lease from before that grant
--- a/lib/upstream/upstream_reactor.cc
+++ b/lib/upstream/upstream_reactor.cc
@@ -18,11 +18,6 @@
 using std::chrono::steady_clock;
 using IoStatus = HttpConnection::IoStatus;
 
-constexpr std::size_t kMaxAnswerHeadBytes = 32'768;
-// A faulty upstream may send an endless series of interim answers. One read
-// returns thousands of them, and erasing each from the front of the input
-// delayed requests to other upstreams by 34 ms.
-constexpr int kMaxInterimAnswers = 16;
 constexpr int kMaxMessagesPerIteration = 1024;
 // Rings do not notify the producer when they have space again, so pushes are
 // retried.
@@ -36,8 +31,6 @@
 constexpr std::array<std::size_t, kTrafficClassCount> kMaxControlConnections = {
     0, 3, 2, 4};
 
-bool IsInterim(int status) { return status >= 100 && status < 200; }
-
 /// Returns how long a connection may stay idle and be reused, from
 /// `Keep-Alive: timeout=N` in an answer, less a margin for a close that is in
 /// transit.
@@ -82,9 +75,16 @@
       poll(std::make_shared<PollReactor>()),
       outbox(to_routing, to_control),
       stop_deadline(kNoDeadline) {
-  // The waker shares ownership of `poll`, so a push after the end of this
-  // thread is safe.
+  // The wakers share ownership of `poll`, so a push or a release after the end
+  // of this thread is safe.
   this->in.SetWaker([shared = this->poll] { shared->Wake(); });
+  for (const MemoryUse use : {MemoryUse::kAnswers, MemoryUse::kLargeAnswers}) {
+    this->settings.memory->SetWaker(
+        use, [shared = this->poll, released = this->memory_released] {
+          released->store(true);
+          shared->Wake();
+        });
+  }
 }
 
 void UpstreamReactor::StopBy(MonotonicTime deadline) {
@@ -113,6 +113,7 @@
     while (const auto key = this->poll->PopExpired(now)) {
       this->HandleDeadline(*key);
     }
+    this->ResumeAnswers();
     this->HandleMessages();
     const MonotonicTime stop_by(
         MonotonicTime::duration(this->stop_deadline.load()));
@@ -352,14 +353,18 @@
   this->WatchExchange(connection);
 }
 
-void UpstreamReactor::WatchExchange(const Connection& connection) {
+void UpstreamReactor::WatchExchange(Connection& connection) {
+  connection.http.ReleaseSpareInput();
+  const int read =
+      connection.is_awaiting_memory ? 0 : static_cast<int>(PollSet::POLL_READ);
   const int write =
       connection.http.HasOutput() ? static_cast<int>(PollSet::POLL_WRITE) : 0;
-  this->poll->SetModes(connection.key, PollSet::POLL_READ | write);
+  this->poll->SetModes(connection.key, read | write);
 }
 
 void UpstreamReactor::MakeIdle(Connection& connection) {
   connection.phase = Phase::kIdle;
+  connection.http.ReleaseSpareInput();
   this->poll->SetModes(connection.key, PollSet::POLL_READ);
   const milliseconds keep_alive_timeout = std::min(
       this->settings.idle_timeout,
@@ -413,103 +418,6 @@
   this->Close(connection);
 }
 
-void UpstreamReactor::OnExchanging(Connection& connection,
-                                   const PollReactor::Event& event) {
-  const bool can_write =
-      !event.is_writable || connection.http.Write() == IoStatus::kOk;
-  if (event.is_readable || event.has_failed || !can_write) {
-    // An upstream may answer and close without reading the whole request, so
-    // the input is read before the connection is treated as failed.
-    const IoStatus status = connection.http.Read(
-        kMaxAnswerHeadBytes + this->settings.max_answer_body);
-    if (status == IoStatus::kClosed) connection.peer_closed = true;
-    if (!this->ReadAnswer(connection)) return;
-    if (status != IoStatus::kOk || event.has_failed || !can_write) {
-      this->FailExchange(connection, Failure::kConnectionLost,
-                         "upstream_lost_connections");
-      return;
-    }
-  }
-  this->WatchExchange(connection);
-}
-
-bool UpstreamReactor::ReadAnswer(Connection& connection) {
-  while (!connection.answer) {
-    const std::size_t before = connection.http.Input().size();
-    if (!this->ParseAnswerHead(connection)) return false;
-    if (connection.http.Input().size() == before) return true;
-  }
-  BodyReader::Status status = connection.body.Feed(connection.http.Input());
-  if (status == BodyReader::Status::kIncomplete) {
-    if (!connection.peer_closed) return true;
-    status = connection.body.FeedEnd();
-  }
-  if (status == BodyReader::Status::kComplete) {
-    this->CompleteExchange(connection);
-  } else {
-    this->FailBody(connection);
-  }
-  return false;
-}
-
-void UpstreamReactor::FailBody(Connection& connection) {
-  if (connection.peer_closed) {
-    this->FailExchange(connection, Failure::kConnectionLost,
-                       "upstream_lost_connections");
-    return;
-  }
-  this->FailExchange(connection, Failure::kBadAnswer, "upstream_bad_answers");
-}
-
-bool UpstreamReactor::ParseAnswerHead(Connection& connection) {
-  std::string& input = connection.http.Input();
-  const auto length = FindHeadEnd(input);
-  if (length.value_or(input.size()) > kMaxAnswerHeadBytes) {
-    this->FailExchange(connection, Failure::kBadAnswer, "upstream_bad_answers");
-    return false;
-  }
-  if (!length) return true;
-  const auto decode = this->settings.protocol->AllowsUnknownLength()
-                          ? &DecodeAnswerHeadAnyLength
-                          : &DecodeAnswerHead;
-  auto head =
-      decode(std::string_view(input).substr(0, *length),
-             connection.exchange->IsHead(), this->settings.max_answer_body);
-  if (!head) {
-    this->FailExchange(connection, Failure::kBadAnswer, "upstream_bad_answers");
-    return false;
-  }
-  if (!this->CheckAnswerMatch(connection, *head)) return false;
-  input.erase(0, *length);
-  if (IsInterim(head->status)) {
-    if (++connection.interim_answers <= kMaxInterimAnswers) return true;
-    this->FailExchange(connection, Failure::kBadAnswer, "upstream_bad_answers");
-    return false;
-  }
-  connection.body = BodyReader({head->framing, head->body_length},
-                               this->settings.max_answer_body);
-  connection.answer = std::move(*head);
-  return true;
-}
-
-bool UpstreamReactor::CheckAnswerMatch(Connection& connection,
-                                       const AnswerHead& head) {
-  connection.answer_match = connection.exchange->Match(head);
-  if (connection.answer_match == AnswerMatch::kOther) {
-    this->FailExchange(connection, Failure::kBadAnswer,
-                       "upstream_unmatched_answers");
-    return false;
-  }
-  // Interim answers bear no id and have no effect.
-  const bool is_doubtful =
-      connection.answer_match == AnswerMatch::kUnidentified &&
-      !connection.is_first_exchange && !IsInterim(head.status);
-  if (!is_doubtful) return true;
-  this->FailExchange(connection, Failure::kBadAnswer,
-                     "upstream_unidentified_answers");
-  return false;
-}
-
 void UpstreamReactor::CompleteExchange(Connection& connection) {
   AnswerHead head = std::move(*connection.answer);
   connection.answer.reset();
@@ -527,10 +435,7 @@
   connection.keep_alive_timeout = KeepAliveTimeoutOf(head);
   const auto exchange = std::move(connection.exchange);
   this->Unregister(*exchange);
-  exchange->Succeed(std::move(head),
-                    std::make_shared<const std::string>(connection.body.Take()),
-                    this->outbox);
-  connection.body = BodyReader();
+  exchange->Succeed(std::move(head), this->TakeBody(connection), this->outbox);
   const PoolId id = connection.pool;
   if (is_reusable) {
     --this->active_exchanges;
--- a/tools/gateway/main.cc
+++ b/tools/gateway/main.cc
@@ -1,4 +1,5 @@
 #include <glog/logging.h>
+#include <malloc.h>
 
 #include <CLI/CLI.hpp>
 #include <chrono>
@@ -39,6 +40,10 @@
 constexpr milliseconds kExitMargin{600};
 constexpr milliseconds kPollInterval{100};
 constexpr milliseconds kMaxSignalWait{60'000};
+// Blocks of this size, in bytes, go back to the system as soon as they are
+// freed. By default the bound rises to that of the largest block freed so far,
+// up to 32 MiB, and the memory of freed bodies stays with the process.
+constexpr int kReturnedBlock = 131'072;
 
 GatewayAdapter MakeAdapter(const GatewaySettings& settings) {
   using namespace bamboorack::platform;
@@ -111,6 +116,7 @@
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? 0 : 2;
   }
+  mallopt(M_MMAP_THRESHOLD, kReturnedBlock);
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
 
--- a/unittests/platform/protocol_test.cc
+++ b/unittests/platform/protocol_test.cc
@@ -295,6 +295,8 @@
     CHECK(with(R"("limits": {"link_mbps": 0})")->link_mbps == 0);
     CHECK(with(R"("limits": {})")->link_mbps == 0);
     CHECK_FALSE(with(R"("limits": {"link_mbps": "fast"})").has_value());
+    CHECK(with(R"("limits": {"memory_mb": 390})")->memory_mb == 390);
+    CHECK_FALSE(with(R"("limits": {"memory_mb": "much"})").has_value());
   }
   SECTION("every error is listed") {
     const auto bad = ReadSettings(R"({"gateway": {"daemon_id": "n",
--- a/unittests/upstream/upstream_endless_test.cc
+++ b/unittests/upstream/upstream_endless_test.cc
@@ -11,6 +11,7 @@
 #include "catch2/catch.hpp"
 #include "support/endless_sender.h"
 #include "support/raw_peer.h"
+#include "upstream/any_length_protocol.h"
 #include "upstream/upstream_fixture.h"
 
 namespace bamboorack::upstream {
@@ -24,40 +25,6 @@
 using bamboorack::testing::WithPauses;
 using std::chrono::steady_clock;
 
-/// The native protocol, but with answers of any framing.
-class AnyLengthProtocol : public UpstreamProtocol {
- public:
-  HttpBytes EncodeDispatch(const Dispatch& dispatch,
-                           MonotonicTime now) const override {
-    return this->native->EncodeDispatch(dispatch, now);
-  }
-  HttpBytes EncodeControl(const ControlRequest& request,
-                          const Endpoint& endpoint) const override {
-    return this->native->EncodeControl(request, endpoint);
-  }
-  std::optional<HttpBytes> EncodeCancel(
-      const RequestId& request, const Endpoint& endpoint) const override {
-    return this->native->EncodeCancel(request, endpoint);
-  }
-  bool AllowsUnknownLength() const override { return true; }
-  const std::string* FindRequestId(const AnswerHead& head) const override {
-    return this->native->FindRequestId(head);
-  }
-  Result DecodeDispatchAnswer(const Dispatch& dispatch, AnswerHead head,
-                              Body body) const override {
-    return this->native->DecodeDispatchAnswer(dispatch, std::move(head),
-                                              std::move(body));
-  }
-  tl::expected<ControlAnswer, ControlError> DecodeControlAnswer(
-      const ControlRequest& request, const AnswerHead& head,
-      const std::string& body) const override {
-    return this->native->DecodeControlAnswer(request, head, body);
-  }
-
- private:
-  const std::shared_ptr<const UpstreamProtocol> native = MakeNativeProtocol();
-};
-
 UpstreamThreadSettings AnyLengthSettings() {
   UpstreamThreadSettings settings;
   settings.max_answer_body = std::size_t{1} << 20U;
