caller: bound the memory of all requests together

What callers saw: 12 proper uploads of 40 MB at one daemon of 390 MB had it killed 7 times in 25 s; none succeeded, and 70 small requests failed.

Cause: bodies of requests were bounded by 1 GiB in sum, whatever the machine had.

Change: requests and uploads have shares of the process's memory. An upload that does not fit stays unread for up to 1 s, first come first served, and is then refused as not run; one that can never fit is refused before its body is read; small requests are refused at once. Heads and requests sent ahead count. Memory belongs to the body, so the pipeline no longer reports what its requests had reserved.

--- a/include/bamboorack/caller/caller_reactor.h
+++ b/include/bamboorack/caller/caller_reactor.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,6 +22,7 @@
 #include "bamboorack/core/bounded_ring.h"
 #include "bamboorack/core/http_body.h"
 #include "bamboorack/core/http_connection.h"
+#include "bamboorack/core/memory_budget.h"
 #include "bamboorack/core/metrics.h"
 #include "bamboorack/core/poll_reactor.h"
 #include "bamboorack/core/time.h"
@@ -49,6 +51,9 @@
  private:
   using Key = PollReactor::Key;
 
+  /// Bytes of requests sent ahead that are read while they have to wait.
+  static constexpr std::size_t kMaxInputAhead = 16'384;
+
   /// What a connection reads at the moment. Requests that were read whole are
   /// in its pipeline.
   enum class Phase : std::uint8_t {
@@ -56,6 +61,8 @@
     kIdle,
     kReadingHead,
     kReadingBody,
+    /// The rest of the body stays unread until there is memory for it.
+    kAwaitingMemory,
     /// The next request stays unread until there is room for it.
     kPaused,
     /// The last request has been read. What follows is discarded.
@@ -87,7 +94,12 @@
     CheckedRequest checked;
     BodyReader body;
     MonotonicTime arrived;
-    std::size_t reserved_body = 0;
+    /// The memory of the request.
+    MemoryReservation reservation;
+    /// What the head takes up, in bytes.
+    std::size_t head_bytes = 0;
+    /// What the reservation needs to hold in `kAwaitingMemory`.
+    std::size_t memory_wanted = 0;
     /// The caller waits for `100 Continue`, which must follow the answers in
     /// front of it.
     bool is_continue_due = false;
@@ -107,7 +119,7 @@
     /// Whether input is kept in this phase; otherwise it is discarded.
     bool keeps_input;
   };
-  static const std::array<PhaseRow, 6> kPhases;
+  static const std::array<PhaseRow, 7> kPhases;
   static const PhaseRow& RowOf(const Connection& connection);
 
   void Handle(const PollReactor::Event& event);
@@ -133,26 +145,40 @@
   Step AdvanceIdle(Connection& connection);
   Step AdvanceHead(Connection& connection);
   Step AdvanceBody(Connection& connection);
+  Step AdvanceAwaitingMemory(Connection& connection);
   Step AdvancePaused(Connection& connection);
   Step AdvanceFinishing(Connection& connection);
   Step AdvanceLingering(Connection& connection);
   Step ExpireIdle(Connection& connection);
   Step ExpireHead(Connection& connection);
   Step ExpireBody(Connection& connection);
+  Step ExpireAwaitingMemory(Connection& connection);
   Step ExpirePaused(Connection& connection);
   Step ExpireFinishing(Connection& connection);
   Step ExpireLingering(Connection& connection);
 
   bool MayReadNext(const Connection& connection) const;
+  /// Reads no more until there is room for another request.
+  Step PauseReading(Connection& connection);
   Step TakeHead(Connection& connection, std::size_t length);
   Step StartBody(Connection& connection);
   /// Adds the request that was read to the pipeline.
   Step FinishRequest(Connection& connection);
   /// Hands a request to the routing thread.
   void PassOn(Connection& connection, CallerExchange& exchange);
-  /// Counts what a body without announced length holds; false if the budget
-  /// is used up.
-  bool ReserveGrowth(Connection& connection);
+  /// Reserves memory for the part of the body that has come. Returns false if
+  /// there is not enough.
+  bool ReserveBody(Connection& connection);
+  /// Leaves the body unread until there is memory, or refuses the request.
+  Step AwaitMemory(Connection& connection);
+  Step RejectForMemory(Connection& connection);
+  /// Goes on with the uploads that wait for memory, in their order, if some was
+  /// released.
+  void GrantMemory();
+  /// Lets the first upload that waits go on if there is memory for it.
+  bool GrantFirst();
+  /// Gives up the memory of the request that is being read.
+  void ReleaseMemory(Connection& connection);
   /// Refuses the request that is being read, and counts the reason.
   Step Refuse(Connection& connection, Refusal refusal);
   Step Reject(Connection& connection, Reason reason, std::string detail);
@@ -167,7 +193,6 @@
   /// the connection is broken.
   bool SendAnswers(Connection& connection);
   void QueueAnswer(Connection& connection, const CallerExchange& exchange);
-  void ReleaseBody(std::size_t& reserved);
   bool IsEnding() const { return this->is_stopping || this->drain_begun; }
   void SetTimeout(Connection& connection, std::chrono::milliseconds timeout);
   /// The time by which a body has to make progress.
@@ -188,7 +213,13 @@
   /// Distinguishes ids given to requests without one from those of other
   /// daemons and earlier runs.
   std::string id_prefix;
-  std::size_t reserved_bodies = 0;
+  /// Connections whose uploads wait for memory, first come first served; those
+  /// that are read in part already come first.
+  std::deque<Key> awaiting_memory;
+  /// Set by the threads that release memory. Shared, since these may outlive
+  /// this object.
+  std::shared_ptr<std::atomic<bool>> memory_released =
+      std::make_shared<std::atomic<bool>>(false);
   bool is_stopping = false;
   std::atomic<bool> drain_begun{false};
   std::atomic<bool> stop_begun{false};
--- a/include/bamboorack/caller/caller_thread.h
+++ b/include/bamboorack/caller/caller_thread.h
@@ -14,6 +14,7 @@
 #include "bamboorack/caller/request_pipeline.h"
 #include "bamboorack/core/bounded_ring.h"
 #include "bamboorack/core/ids.h"
+#include "bamboorack/core/memory_budget.h"
 #include "bamboorack/core/metrics.h"
 #include "bamboorack/core/time.h"
 
@@ -32,9 +33,12 @@
   std::chrono::milliseconds head_timeout{5'000};
   /// Further connections are closed at once and counted.
   std::size_t max_connections = 10'000;
-  /// Sum of the bodies of all requests that are being read or served, in
-  /// bytes. A request that does not fit is refused with `queue_full`.
-  std::size_t body_budget = std::size_t{1} << 30;
+  /// Bounds the memory that all requests together take up. An upload that does
+  /// not fit stays unread for a moment, and is then refused with `queue_full`
+  /// like any other request. Never null. The thread sets the waker of
+  /// `kUploads`.
+  std::shared_ptr<MemoryBudget> memory =
+      std::make_shared<MemoryBudget>(ShareMemory(kDefaultProcessMemory));
   /// Bounds for requests that callers send before earlier ones are answered.
   PipelineLimits pipeline{};
 };
--- a/include/bamboorack/caller/request_pipeline.h
+++ b/include/bamboorack/caller/request_pipeline.h
@@ -55,8 +55,6 @@
   MonotonicTime arrived_at{};
   /// The routing thread answers by this time.
   MonotonicTime answer_by{};
-  /// Bytes of its body that count towards the body budget.
-  std::size_t reserved_body = 0;
   /// Whether the connection stays open after the answer.
   bool keep_alive = true;
 };
@@ -100,15 +98,14 @@
   CallerExchange* FindOverdue(MonotonicTime now);
   /// Makes the last request close the connection. If the last one is held back
   /// and not the first, it is dropped instead: the caller takes what follows a
-  /// closing answer as not read. Returns the bytes of body that dropped
-  /// requests had reserved.
-  std::size_t EndAfterLast();
+  /// closing answer as not read.
+  void EndAfterLast();
   /// Returns the earliest time by which an answer is due.
   std::optional<MonotonicTime> NextAnswerDue() const;
   /// The slots of the requests in work.
   std::vector<CallerSlot> SlotsInWork() const;
-  /// Removes all requests. Returns the bytes of body that they had reserved.
-  std::size_t Clear();
+  /// Removes all requests.
+  void Clear();
 
  private:
   static std::size_t AnswerBytes(const CallerExchange& exchange);
--- a/include/bamboorack/core/memory_budget.h
+++ b/include/bamboorack/core/memory_budget.h
@@ -51,9 +51,7 @@
 /// Returns the limits for a process that may use `bytes` of memory in all. The
 /// part that no use gets is for the process itself and for the buffers of its
 /// sockets.
-constexpr MemoryLimits ShareMemory(std::size_t bytes) {
-  return {bytes / 8, bytes / 4, bytes / 16, bytes / 4};
-}
+MemoryLimits ShareMemory(std::size_t bytes);
 
 /// For processes that are not told how much memory they may use, in bytes.
 inline constexpr std::size_t kDefaultProcessMemory = std::size_t{4} << 30U;
--- a/lib/caller/caller_reactor.cc
+++ b/lib/caller/caller_reactor.cc
@@ -32,7 +32,6 @@
 constexpr milliseconds kAcceptPause{100};
 // The routing thread answers by the request's deadline; this covers its delay.
 constexpr milliseconds kAnswerGrace{1'000};
-constexpr std::size_t kMaxPipelinedInput = 16'384;
 // Body bytes that wait in the input between two turns of the reader.
 constexpr std::size_t kMaxBodyInput = 65'536;
 constexpr MonotonicTime::rep kNoDeadline =
@@ -50,13 +49,15 @@
 }  // namespace
 
 // Indexed by phase.
-const std::array<CallerReactor::PhaseRow, 6> CallerReactor::kPhases = {
+const std::array<CallerReactor::PhaseRow, 7> CallerReactor::kPhases = {
     PhaseRow{Phase::kIdle, &CallerReactor::AdvanceIdle,
              &CallerReactor::ExpireIdle, true},
     PhaseRow{Phase::kReadingHead, &CallerReactor::AdvanceHead,
              &CallerReactor::ExpireHead, true},
     PhaseRow{Phase::kReadingBody, &CallerReactor::AdvanceBody,
              &CallerReactor::ExpireBody, true},
+    PhaseRow{Phase::kAwaitingMemory, &CallerReactor::AdvanceAwaitingMemory,
+             &CallerReactor::ExpireAwaitingMemory, true},
     PhaseRow{Phase::kPaused, &CallerReactor::AdvancePaused,
              &CallerReactor::ExpirePaused, true},
     PhaseRow{Phase::kFinishing, &CallerReactor::AdvanceFinishing,
@@ -80,9 +81,15 @@
       poll(std::make_shared<PollReactor>()),
       id_prefix(DrawIdPrefix()),
       stop_deadline(kNoDeadline) {
-  // The waker keeps the poll alive, so a push after the end of this thread
-  // does no harm.
+  // The wakers keep the poll alive, so a push or a release after the end of
+  // this thread does no harm.
   this->in.SetWaker([shared = this->poll] { shared->Wake(); });
+  this->settings.memory->SetWaker(
+      MemoryUse::kUploads,
+      [shared = this->poll, released = this->memory_released] {
+        released->store(true);
+        shared->Wake();
+      });
 }
 
 void CallerReactor::Listen() {
@@ -120,6 +127,7 @@
       this->HandleExpired(*key);
     }
     this->TakeAnswers();
+    this->GrantMemory();
     this->TakeStop();
     if (this->stop_deadline.load() == kNoDeadline) continue;
     if (this->connections.empty() || steady_clock::now() >= stop_by) break;
@@ -224,7 +232,8 @@
 
 std::size_t CallerReactor::InputLimit(const Connection& connection) const {
   if (connection.phase == Phase::kReadingBody) return kMaxBodyInput;
-  if (connection.phase == Phase::kPaused) return kMaxPipelinedInput;
+  if (connection.phase == Phase::kAwaitingMemory) return 0;
+  if (connection.phase == Phase::kPaused) return kMaxInputAhead;
   return this->settings.limits.head + 1;
 }
 
@@ -243,6 +252,7 @@
 }
 
 void CallerReactor::WatchFor(Connection& connection) {
+  connection.http.ReleaseSpareInput();
   const bool has_room =
       !RowOf(connection).keeps_input ||
       connection.http.Input().size() < this->InputLimit(connection);
@@ -278,8 +288,7 @@
       this->metrics.Count("caller_gone_dropped");
     }
   }
-  this->reserved_bodies -= connection.pipeline.Clear();
-  this->ReleaseBody(connection.reserved_body);
+  this->ReleaseMemory(connection);
   this->poll->Remove(connection.key);
   this->connections.erase(connection.key);
 }
@@ -323,7 +332,9 @@
     this->QueueAnswer(connection, *exchange);
     has_new_output = true;
   }
-  if (connection.is_continue_due && connection.pipeline.IsEmpty()) {
+  const bool reads_body = connection.phase == Phase::kReadingBody;
+  if (connection.is_continue_due && reads_body &&
+      connection.pipeline.IsEmpty()) {
     connection.is_continue_due = false;
     connection.http.Queue(EncodeContinue());
     has_new_output = true;
@@ -345,17 +356,12 @@
     this->metrics.Count("caller_missing_answers");
     this->metrics.CountRefusal(Reason::kDeadlinePassed);
     this->slots.erase(exchange->slot.value);
-    this->ReleaseBody(exchange->reserved_body);
     connection.pipeline.SetResult(
         *exchange,
         Unknown(Reason::kDeadlinePassed, "no answer by the deadline"));
   }
 }
 
-void CallerReactor::ReleaseBody(std::size_t& reserved) {
-  this->reserved_bodies -= std::exchange(reserved, 0);
-}
-
 void CallerReactor::SetTimeout(Connection& connection, milliseconds timeout) {
   connection.phase_deadline = steady_clock::now() + timeout;
 }
@@ -396,7 +402,6 @@
       answer.result ? Ending::kDone : answer.result.error().ending;
   this->metrics.ObserveLatency(exchange->rank, ending,
                                steady_clock::now() - exchange->arrived_at);
-  this->ReleaseBody(exchange->reserved_body);
   connection.pipeline.SetResult(*exchange, std::move(answer.result));
   this->Drive(connection, Step::kAgain);
 }
--- a/lib/caller/caller_reactor_phases.cc
+++ b/lib/caller/caller_reactor_phases.cc
@@ -31,11 +31,10 @@
       connection.pipeline.IsEmpty() && !connection.http.HasOutput();
   if (!connection.http.Input().empty()) {
     if (!this->MayReadNext(connection)) {
-      this->metrics.Count("caller_reads_paused");
-      connection.phase = Phase::kPaused;
-      connection.phase_deadline.reset();
-      return Step::kAgain;
+      return this->PauseReading(connection);
     }
+    connection.reservation =
+        MemoryReservation(this->settings.memory, MemoryUse::kRequests);
     connection.phase = Phase::kReadingHead;
     connection.keep_alive = true;
     this->SetTimeout(connection, this->settings.head_timeout);
@@ -56,6 +55,20 @@
   return Step::kWait;
 }
 
+CallerReactor::Step CallerReactor::PauseReading(Connection& connection) {
+  this->metrics.Count("caller_reads_paused");
+  connection.reservation =
+      MemoryReservation(this->settings.memory, MemoryUse::kRequests);
+  if (!connection.reservation.TryResize(kMaxInputAhead)) {
+    // The caller sends again what it was not answered.
+    this->StopReading(connection);
+    return Step::kAgain;
+  }
+  connection.phase = Phase::kPaused;
+  connection.phase_deadline.reset();
+  return Step::kAgain;
+}
+
 CallerReactor::Step CallerReactor::AdvancePaused(Connection& connection) {
   if (this->MayReadNext(connection)) {
     connection.phase = Phase::kIdle;
@@ -78,6 +91,11 @@
                         "head is larger than " + std::to_string(limit));
   }
   if (length) return this->TakeHead(connection, *length);
+  if (!connection.reservation.TryResize(input.capacity())) {
+    connection.checked = {};
+    return this->Reject(connection, Reason::kQueueFull,
+                        "no memory for the head");
+  }
   if (!connection.peer_closed) return Step::kWait;
   this->metrics.Count("caller_early_closes");
   return Step::kClose;
@@ -110,26 +128,8 @@
   return this->StartBody(connection);
 }
 
-CallerReactor::Step CallerReactor::StartBody(Connection& connection) {
-  const CheckedRequest& checked = connection.checked;
-  const std::size_t length = checked.body_length;
-  if (this->reserved_bodies + length > this->settings.body_budget) {
-    return this->Reject(
-        connection, Reason::kQueueFull,
-        "no room for a body of " + std::to_string(length) + " bytes");
-  }
-  this->reserved_bodies += length;
-  connection.reserved_body = length;
-  connection.body = BodyReader({checked.framing, length},
-                               std::max(length, checked.body_limit));
-  connection.phase = Phase::kReadingBody;
-  this->SetBodyDeadline(connection);
-  connection.is_continue_due =
-      checked.expects_continue && connection.http.Input().size() < length;
-  return Step::kAgain;
-}
-
 CallerReactor::Step CallerReactor::AdvanceBody(Connection& connection) {
+  if (!this->ReserveBody(connection)) return this->AwaitMemory(connection);
   const BodyReader::Status status =
       connection.body.Feed(connection.http.Input());
   connection.arrival_times.OnTaken(connection.http.Input().size());
@@ -144,43 +144,26 @@
     return this->Reject(connection, Reason::kBodyTooLarge,
                         "chunked body is too large");
   }
-  if (!this->ReserveGrowth(connection)) {
-    return this->Reject(connection, Reason::kQueueFull,
-                        "no room for a chunked body");
-  }
   if (!connection.peer_closed) return Step::kWait;
   this->metrics.Count("caller_early_closes");
   return Step::kClose;
 }
 
-bool CallerReactor::ReserveGrowth(Connection& connection) {
-  const std::size_t held = connection.body.Size();
-  if (held <= connection.reserved_body) return true;
-  const std::size_t growth = held - connection.reserved_body;
-  if (this->reserved_bodies + growth > this->settings.body_budget) return false;
-  this->reserved_bodies += growth;
-  connection.reserved_body = held;
-  return true;
-}
-
 CallerExchange& CallerReactor::AddExchange(Connection& connection) {
   CallerExchange exchange;
   exchange.is_head = connection.checked.request.method == "HEAD";
   exchange.rank = connection.checked.request.rank;
   exchange.arrived_at = connection.arrived;
-  exchange.reserved_body = std::exchange(connection.reserved_body, 0);
   exchange.keep_alive = connection.keep_alive;
   connection.is_continue_due = false;
   return connection.pipeline.Add(std::move(exchange));
 }
 
 CallerReactor::Step CallerReactor::FinishRequest(Connection& connection) {
-  std::string body = connection.body.Take();
   CallerExchange& exchange = this->AddExchange(connection);
   exchange.request = std::move(connection.checked.request);
   exchange.request.body =
-      body.empty() ? EmptyBody()
-                   : std::make_shared<const std::string>(std::move(body));
+      MakeBody(connection.body.Take(), std::move(connection.reservation));
   if (connection.pipeline.MayStart(exchange)) {
     this->PassOn(connection, exchange);
   } else {
@@ -205,7 +188,7 @@
                                           Refusal refusal) {
   this->metrics.CountRefusal(refusal.reason);
   CallerExchange& exchange = this->AddExchange(connection);
-  this->ReleaseBody(exchange.reserved_body);
+  this->ReleaseMemory(connection);
   connection.pipeline.SetResult(exchange,
                                 tl::make_unexpected(std::move(refusal)));
   return this->ReadOn(connection);
@@ -213,8 +196,8 @@
 
 void CallerReactor::StopReading(Connection& connection) {
   if (!RowOf(connection).keeps_input) return;
-  this->ReleaseBody(connection.reserved_body);
-  this->reserved_bodies -= connection.pipeline.EndAfterLast();
+  this->ReleaseMemory(connection);
+  connection.pipeline.EndAfterLast();
   connection.phase = Phase::kFinishing;
   connection.phase_deadline.reset();
   connection.is_continue_due = false;
--- a/lib/caller/request_pipeline.cc
+++ b/lib/caller/request_pipeline.cc
@@ -73,16 +73,13 @@
   return found == this->exchanges.end() ? nullptr : &*found;
 }
 
-std::size_t RequestPipeline::EndAfterLast() {
-  std::size_t dropped_body = 0;
+void RequestPipeline::EndAfterLast() {
   while (this->exchanges.size() > 1 &&
          this->exchanges.back().state == State::kHeldBack) {
-    dropped_body += this->exchanges.back().reserved_body;
     this->Uncount(this->exchanges.back());
     this->exchanges.pop_back();
   }
   if (!this->exchanges.empty()) this->exchanges.back().keep_alive = false;
-  return dropped_body;
 }
 
 std::optional<MonotonicTime> RequestPipeline::NextAnswerDue() const {
@@ -102,14 +99,11 @@
   return slots;
 }
 
-std::size_t RequestPipeline::Clear() {
-  std::size_t reserved_body = 0;
+void RequestPipeline::Clear() {
   for (const CallerExchange& exchange : this->exchanges) {
-    reserved_body += exchange.reserved_body;
     if (!this->IsFirst(exchange)) this->Uncount(exchange);
   }
   this->exchanges.clear();
-  return reserved_body;
 }
 
 std::size_t RequestPipeline::AnswerBytes(const CallerExchange& exchange) {
--- a/lib/core/memory_budget.cc
+++ b/lib/core/memory_budget.cc
@@ -18,6 +18,10 @@
 
 }  // namespace
 
+MemoryLimits ShareMemory(std::size_t bytes) {
+  return {bytes / 16, bytes / 8 * 3, bytes / 16, bytes / 4};
+}
+
 MemoryBudget::MemoryBudget(const MemoryLimits& all_limits) {
   for (std::size_t i = 0; i < kMemoryUseCount; ++i) {
     this->shares.at(i).limit = all_limits.at(i);
--- a/lib/daemon/daemon.cc
+++ b/lib/daemon/daemon.cc
@@ -32,10 +32,12 @@
 }
 
 caller::CallerThreadSettings CallerSettings(
-    const operators::Settings& settings) {
+    const operators::Settings& settings,
+    const std::shared_ptr<MemoryBudget>& memory) {
   caller::CallerThreadSettings caller_settings;
   caller_settings.listen = settings.caller_endpoint;
   caller_settings.max_connections = settings.limits.caller_connections;
+  caller_settings.memory = memory;
   return caller_settings;
 }
 
@@ -62,7 +64,7 @@
         control(controller, rings),
         routing(settings.daemon_id, rings, metrics),
         memory(MakeMemoryBudget(settings.limits.memory_mb, metrics)),
-        callers(CallerSettings(settings), rings.caller_to_routing,
+        callers(CallerSettings(settings, memory), rings.caller_to_routing,
                 rings.routing_to_caller, metrics),
         upstreams(UpstreamSettings(settings, memory), rings.to_upstream,
                   rings.upstream_to_routing, rings.upstream_to_control,
--- a/lib/daemon/gateway.cc
+++ b/lib/daemon/gateway.cc
@@ -57,11 +57,13 @@
 }
 
 caller::CallerThreadSettings MakeCallerSettings(
-    const operators::GatewaySettings& settings, const GatewayAdapter& adapter) {
+    const operators::GatewaySettings& settings, const GatewayAdapter& adapter,
+    const std::shared_ptr<MemoryBudget>& memory) {
   caller::CallerThreadSettings caller_settings;
   caller_settings.listen = settings.caller_endpoint;
   caller_settings.max_connections = settings.caller_connections;
   caller_settings.protocol = adapter.callers;
+  caller_settings.memory = memory;
   return caller_settings;
 }
 
@@ -104,7 +106,7 @@
         routing({settings.daemon_id, settings.failure_domain}, rings, log,
                 metrics),
         memory(MakeMemoryBudget(settings.memory_mb, metrics)),
-        callers(MakeCallerSettings(settings, adapter),
+        callers(MakeCallerSettings(settings, adapter, memory),
                 rings.caller_to_routing, rings.routing_to_caller, metrics),
         upstreams(MakeUpstreamSettings(settings, adapter, memory),
                   rings.to_upstream, rings.upstream_to_routing,
