platform: do not pass on a status that promises what the upstream does not

What callers saw: a backend ran their request and answered 503, 429, 408 or 421 of its own; they got that status, or 503, which promises that the request has not run and never will.

Cause: every signed answer was passed on as it came, and a 421 without the mark X-Not-Executed counted as another backend's, even signed or with the id of the backend that was asked. Only the mark states that a request did not run.

Change: such an answer ends as possibly run: 502 without the signature, with the reason upstream_unmarked_rejection, and counts as a failure of the upstream. A 421 counts as another backend's only if it names another one and is not signed. 408 with the mark is a rejection like 503.

The scenario of protocol_test fails on the code before: the answers are passed on, with their status. The stand-in of the platform's backends can answer so, and all backends of the soak do for one request in 50.

--- a/include/bamboorack/core/reason.h
+++ b/include/bamboorack/core/reason.h
@@ -44,6 +44,7 @@
   kStopping,
   kCancelled,
   kUpstreamAnswerCut,
+  kUpstreamUnmarkedRejection,
 };
 
 /// One row of the table of reasons.
@@ -87,6 +88,8 @@
     ReasonInfo{Reason::kStopping, "stopping", 503},
     ReasonInfo{Reason::kCancelled, "cancelled", 499},
     ReasonInfo{Reason::kUpstreamAnswerCut, "upstream_answer_cut", 502},
+    ReasonInfo{Reason::kUpstreamUnmarkedRejection,
+               "upstream_unmarked_rejection", 502},
 };
 
 inline constexpr std::size_t kReasonCount = kReasons.size();
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -41,7 +41,8 @@
 
 /// Answers that cannot be passed on, and count against the upstream.
 constexpr std::array kFailedAnswers = {Reason::kUpstreamBadAnswer,
-                                       Reason::kUpstreamAnswerCut};
+                                       Reason::kUpstreamAnswerCut,
+                                       Reason::kUpstreamUnmarkedRejection};
 
 UpstreamOutcome OutcomeOf(const Result& result) {
   if (result) {
--- a/lib/operator/request_history.cc
+++ b/lib/operator/request_history.cc
@@ -107,6 +107,9 @@
              "The answer broke the protocol or belonged to another request."},
     CauseRow{"upstream_answer_cut",
              "The answer took up more memory than the daemon has for answers."},
+    CauseRow{"upstream_unmarked_rejection",
+             "The upstream answered with a status that means not run, without "
+             "the mark that it did not run the request."},
     CauseRow{"retry_budget_empty",
              "The first attempt failed, and the retries of all daemons were "
              "used up."},
--- a/tools/fakes/platform_upstream/main.cc
+++ b/tools/fakes/platform_upstream/main.cc
@@ -31,6 +31,8 @@
                  "value of Retry-After, sent as it is");
   app.add_option("--second-answer-every", settings.second_answer_every,
                  "answer one request of so many a second time, late");
+  app.add_option("--own-rejection-every", settings.own_rejection_every,
+                 "run one request of so many and answer 503, 429, 408 or 421");
   CLI11_PARSE(app, argc, argv);
   settings.work = std::chrono::milliseconds(work_ms);
   const sigset_t signals = bamboorack::tools::BlockSignals({SIGTERM, SIGINT});
--- a/tools/fakes/platform_upstream/platform_upstream.cc
+++ b/tools/fakes/platform_upstream/platform_upstream.cc
@@ -7,6 +7,7 @@
 #include <Poco/Net/HTTPServerResponse.h>
 
 #include <algorithm>
+#include <array>
 #include <sstream>
 
 #include "bamboorack/core/http_client.h"
@@ -25,6 +26,8 @@
 constexpr milliseconds kHeartbeat{400};
 constexpr milliseconds kStoreLimit{1'000};
 constexpr int kThreads = 48;
+// Statuses that mean that a request did not run, if the answer says so.
+constexpr std::array kRejections = {503, 429, 408, 421};
 
 std::string Nanoseconds(steady_clock::time_point time) {
   return std::to_string(time.time_since_epoch().count());
@@ -269,6 +272,12 @@
   }
   response.set("X-Server-Stamp", this->settings.id + "." + id);
   const std::string answer = "{\"id\":\"" + id + "\"}";
+  const std::uint32_t rejected = this->settings.own_rejection_every;
+  if (rejected != 0 && number % rejected == 0) {
+    SendJson(response, kRejections.at(number / rejected % kRejections.size()),
+             answer);
+    return;
+  }
   SendJson(response, 200, answer);
   const std::uint32_t every = this->settings.second_answer_every;
   if (every != 0 && number % every == 0) {
--- a/tools/fakes/platform_upstream/platform_upstream.h
+++ b/tools/fakes/platform_upstream/platform_upstream.h
@@ -41,6 +41,9 @@
   /// `second_answer_delay`; 0 for none.
   std::uint32_t second_answer_every = 0;
   std::chrono::milliseconds second_answer_delay{30};
+  /// Runs one request of so many and then answers with a status that it
+  /// otherwise uses for requests that did not run; 0 for none.
+  std::uint32_t own_rejection_every = 0;
 };
 
 /// A stand-in for an upstream of the platform: registers itself, takes grants
--- a/tools/platform_soak/cluster.cc
+++ b/tools/platform_soak/cluster.cc
@@ -21,6 +21,9 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds kCallLimit{2'000};
+// Upstreams answer one request of so many with a status that means not run,
+// although they ran it.
+constexpr int kOwnRejectionEvery = 50;
 
 std::uint16_t FreePort() {
   Poco::Net::ServerSocket socket;
@@ -124,7 +127,9 @@
       "--store-port",
       std::to_string(this->store_port),
       "--advertise",
-      std::to_string(upstream.link->Port())};
+      std::to_string(upstream.link->Port()),
+      "--own-rejection-every",
+      std::to_string(kOwnRejectionEvery)};
   if (upstream.is_sharded) arguments.emplace_back("--sharded");
   upstream.process.Start(arguments, log);
   upstream.link->SetTarget(ReadPort(log));
--- a/unittests/platform/protocol_test.cc
+++ b/unittests/platform/protocol_test.cc
@@ -98,6 +98,65 @@
   return head;
 }
 
+SCENARIO("an upstream runs a request and the caller is told that it did not") {
+  const auto upstreams = MakeUpstreamProtocol();
+  const auto callers = MakeCallerProtocol();
+  upstream::Dispatch dispatch;
+  dispatch.upstream.id = UpstreamId("i-1");
+  const Body body = std::make_shared<const std::string>("x");
+  const Header stamp{"X-Server-Stamp", "s"};
+  const Header mark{"X-Not-Executed", "1"};
+  const auto decode = [&](int status, std::vector<Header> headers) {
+    return upstreams->DecodeDispatchAnswer(
+        dispatch, AnswerOf(status, std::move(headers)), body);
+  };
+
+  for (const int status : {503, 429, 408, 421}) {
+    CAPTURE(status);
+    GIVEN("an answer with status " + std::to_string(status) +
+          " of the upstream's own") {
+      const std::vector<std::vector<Header>> own_answers = {
+          {stamp},
+          {stamp, {"X-Instance-Id", "i-1"}},
+          {stamp, {"X-Instance-Id", "i-2"}},
+          {{"X-Instance-Id", "i-1"}},
+          {}};
+      THEN("it may have run") {
+        for (const std::vector<Header>& headers : own_answers) {
+          const Result result = decode(status, headers);
+          REQUIRE_FALSE(result.has_value());
+          CHECK(result.error().ending == Ending::kUnknown);
+        }
+      }
+      THEN("the caller gets neither the status nor the stamp") {
+        for (const std::vector<Header>& headers : own_answers) {
+          const HttpBytes answer = callers->Encode(decode(status, headers), {});
+          CHECK_THAT(answer.head, Catch::StartsWith("HTTP/1.1 502 "));
+          CHECK_THAT(answer.head, !Contains("X-Server-Stamp"));
+          CHECK_THAT(answer.head, !Contains("Retry-After"));
+        }
+      }
+      THEN("operators see the reason") {
+        CHECK(decode(status, {stamp}).error().reason ==
+              Reason::kUpstreamUnmarkedRejection);
+      }
+    }
+    GIVEN("a rejection with status " + std::to_string(status) +
+          " that bears the mark") {
+      THEN("it has not run") {
+        CHECK(decode(status, {mark}).error().ending == Ending::kNotRun);
+      }
+    }
+  }
+  GIVEN("a failure that promises nothing") {
+    THEN("it is passed on with its status and its stamp") {
+      const HttpBytes answer = callers->Encode(decode(500, {stamp}), {});
+      CHECK_THAT(answer.head, Catch::StartsWith("HTTP/1.1 500 "));
+      CHECK_THAT(answer.head, Contains("X-Server-Stamp: s\r\n"));
+    }
+  }
+}
+
 SCENARIO("an answer of an upstream is taken for another one") {
   const auto upstreams = MakeUpstreamProtocol();
   upstream::Dispatch dispatch;
