--- a/include/bamboorack/core/http_client.h
+++ b/include/bamboorack/core/http_client.h
@@ -39,8 +39,13 @@
 /// Calls one HTTP server over one persistent connection. For one thread.
 class HttpClient {
  public:
-  /// `limit` bounds each attempt to connect.
-  HttpClient(const Endpoint& endpoint, std::chrono::milliseconds limit);
+  /// Above the largest answer of the log service, 128 records with 64 KiB each.
+  static constexpr std::size_t kMaxReplyBytes = std::size_t{64} << 20U;
+
+  /// `limit` bounds each attempt to connect, `max_reply` the body of each
+  /// answer in bytes.
+  HttpClient(const Endpoint& endpoint, std::chrono::milliseconds limit,
+             std::size_t max_reply = kMaxReplyBytes);
 
   /// Makes a call. Fails if there is no complete answer by `deadline`, however
   /// fast or slowly its bytes come, or if `stop` is requested, which is not
@@ -64,6 +69,7 @@
 
   const Endpoint server;
   const std::chrono::milliseconds connect_limit;
+  const std::size_t max_reply_bytes;
   std::optional<HttpConnection> connection;
   /// Valid while there is a connection.
   MonotonicTime reuse_before;
--- a/lib/core/http_client.cc
+++ b/lib/core/http_client.cc
@@ -21,8 +21,6 @@
 using std::chrono::steady_clock;
 using IoStatus = HttpConnection::IoStatus;
 
-/// Above the largest answer in use, 128 log records with 64 KiB each.
-constexpr std::size_t kMaxReplyBytes = std::size_t{64} * 1024 * 1024;
 constexpr std::size_t kMaxHead = 32'768;
 constexpr std::size_t kReadBytes = std::size_t{256} * 1024;
 constexpr int kMaxInterimAnswers = 16;
@@ -58,6 +56,9 @@
 /// answer.
 class AnswerReader {
  public:
+  /// `max_reply` bounds the body in bytes.
+  explicit AnswerReader(std::size_t max_reply) : max_body(max_reply) {}
+
   /// Takes the bytes of the answer from the front of `input`. Returns whether
   /// the answer is complete.
   bool Feed(std::string& input) {
@@ -128,9 +129,10 @@
       if (!announced) throw Poco::DataFormatException(announced.error());
       frame = *announced;
     }
-    this->body = BodyReader(frame, kMaxReplyBytes);
+    this->body = BodyReader(frame, this->max_body);
   }
 
+  const std::size_t max_body;
   bool has_head = false;
   bool keeps_connection = false;
   int status_code = 0;
@@ -159,8 +161,11 @@
 }  // namespace
 
 HttpClient::HttpClient(const Endpoint& endpoint,
-                       std::chrono::milliseconds limit)
-    : server(endpoint), connect_limit(limit), waker(this->poll_set) {}
+                       std::chrono::milliseconds limit, std::size_t max_reply)
+    : server(endpoint),
+      connect_limit(limit),
+      max_reply_bytes(max_reply),
+      waker(this->poll_set) {}
 
 tl::expected<HttpReply, HttpFailure> HttpClient::Call(
     const HttpCall& call, MonotonicTime deadline, const std::stop_token& stop) {
@@ -186,7 +191,7 @@
   const std::stop_callback wake(stop, [this] { this->waker.Wake(); });
   Watch watch(this->poll_set, http.Socket());
   http.Queue(Encode(call, this->server));
-  AnswerReader answer;
+  AnswerReader answer(this->max_reply_bytes);
   bool is_complete = false;
   while (!is_complete) {
     // The kernel may take a part before the connection breaks.
--- a/unittests/core/http_client_test.cc
+++ b/unittests/core/http_client_test.cc
@@ -254,5 +254,29 @@
   }
 }
 
+SCENARIO("an answer of the store takes up the memory of the process") {
+  GIVEN("a client that takes small answers only") {
+    Fixture fixture;
+    fixture.client = std::make_unique<HttpClient>(
+        Endpoint{"127.0.0.1", fixture.listener.address().port()}, seconds(5),
+        std::size_t{1'000});
+    auto reply = fixture.Call(TestDeadline());
+    RawPeer server = fixture.Accept();
+    WHEN("a larger one is announced") {
+      server.Send("HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n");
+      THEN("the call fails, and may have run") {
+        const Reply failed = reply.get();
+        REQUIRE_FALSE(failed.has_value());
+        CHECK(failed.error().may_have_run);
+      }
+    }
+    WHEN("one of that size comes") {
+      server.Send("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" +
+                  std::string(1'000, 'a'));
+      THEN("it is taken") { CHECK(reply.get().has_value()); }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace bamboorack
