core: let a test wait for the late bytes that it is about

Change: the test waits until the late bytes are written. It guards against the same failure as before: bytes that are there when the next call begins.

--- a/unittests/core/http_client_test.cc
+++ b/unittests/core/http_client_test.cc
@@ -184,6 +184,12 @@
   }
   SECTION("without end") {
     sender = std::make_unique<EndlessSender>(peer, EndlessBytes{whole, late});
+    // The next call must find bytes that came before it.
+    const MonotonicTime end = TestDeadline();
+    while (sender->BytesSent() <= whole.size()) {
+      REQUIRE(steady_clock::now() < end);
+      std::this_thread::sleep_for(milliseconds(1));
+    }
   }
   CHECK(call.get()->body == "first");
   auto next = fixture.Call(TestDeadline());
