caller: wait for memory for a third of the time limit; layout and lint

The decision files read no clock and include no socket header, which scripts/check_layout asks; the wait of an upload is a third of the time limit from its arrival, in place of a third of what is left. MemoryBudget declares its destructor, which clang-tidy asks.

--- a/include/bamboorack/core/memory_budget.h
+++ b/include/bamboorack/core/memory_budget.h
@@ -60,6 +60,7 @@
 class MemoryBudget {
  public:
   explicit MemoryBudget(const MemoryLimits& all_limits);
+  ~MemoryBudget() = default;
   MemoryBudget(const MemoryBudget&) = delete;
   MemoryBudget& operator=(const MemoryBudget&) = delete;
 
--- a/lib/caller/caller_reactor_memory.cc
+++ b/lib/caller/caller_reactor_memory.cc
@@ -11,10 +11,9 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 // Callers give up on a daemon that has not read their request after this time
-// or a third of the time left, and go to another one.
+// or a third of their time limit, and go to another one.
 constexpr milliseconds kMaxMemoryWait{1'000};
 constexpr int kMemoryWaitDivisor = 3;
 // Each takes up memory for its head and a receive buffer in the kernel.
@@ -68,11 +67,10 @@
     this->awaiting_memory.push_front(connection.key);
   }
   connection.phase = Phase::kAwaitingMemory;
-  const auto time_left =
-      connection.checked.request.deadline - steady_clock::now();
-  connection.phase_deadline =
-      steady_clock::now() + std::min<MonotonicTime::duration>(
-                                kMaxMemoryWait, time_left / kMemoryWaitDivisor);
+  const auto time_limit = std::chrono::duration_cast<milliseconds>(
+      connection.checked.request.deadline - connection.arrived);
+  this->SetTimeout(connection,
+                   std::min(kMaxMemoryWait, time_limit / kMemoryWaitDivisor));
   return Step::kWait;
 }
 
--- a/lib/upstream/upstream_reactor_answers.cc
+++ b/lib/upstream/upstream_reactor_answers.cc
@@ -1,5 +1,3 @@
-#include <Poco/Net/PollSet.h>
-
 #include <algorithm>
 #include <string>
 #include <string_view>
--- a/unittests/core/memory_budget_test.cc
+++ b/unittests/core/memory_budget_test.cc
@@ -95,8 +95,8 @@
   const std::string text = metrics.ToPrometheusText();
   CHECK_THAT(text, Catch::Contains("bamboorack_memory_uploads_bytes 3\n"));
   CHECK_THAT(text, Catch::Contains("bamboorack_memory_uploads_peak_bytes 7\n"));
-  CHECK_THAT(text,
-             Catch::Contains("bamboorack_memory_uploads_limit_bytes 1.5e+08\n"));
+  CHECK_THAT(
+      text, Catch::Contains("bamboorack_memory_uploads_limit_bytes 1.5e+08\n"));
 }
 
 }  // namespace
