--- a/lib/caller/caller_reactor_phases.cc
+++ b/lib/caller/caller_reactor_phases.cc
@@ -60,7 +60,7 @@
   connection.reservation =
       MemoryReservation(this->settings.memory, MemoryUse::kRequests);
   if (!connection.reservation.TryResize(kMaxInputAhead)) {
-    // The caller sends again what it was not answered.
+    // The caller repeats requests that are not answered.
     this->StopReading(connection);
     return Step::kAgain;
   }
