--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -113,10 +113,9 @@
     connection.CloseSend();
     // Until the other side closes too.
     while (connection.Receive(Clock::now() + milliseconds(1'000))) continue;
-    this->record.Line("backend " + this->id + " " + request +
-                      " answers 200 whole, read " +
-                      std::to_string(std::min(connection.input.size(), length)) +
-                      " bytes");
+    this->record.Line(
+        "backend " + this->id + " " + request + " answers 200 whole, read " +
+        std::to_string(std::min(connection.input.size(), length)) + " bytes");
   }
 
   const std::string id;
@@ -201,9 +200,8 @@
   std::vector<std::thread> clients;
   for (int i = 0; i < kClients; ++i) {
     const std::uint16_t port = i % 2 == 0 ? first.Port() : second.Port();
-    clients.emplace_back([&, i, port] {
-      RunClient(i, port, end, place.record, outcomes[i]);
-    });
+    clients.emplace_back(
+        [&, i, port] { RunClient(i, port, end, place.record, outcomes[i]); });
   }
   for (std::thread& client : clients) client.join();
   Outcome sum;
--- a/review/harness-2/harness.h
+++ b/review/harness-2/harness.h
@@ -189,6 +189,12 @@
   }
 
   bool IsOpen() const { return this->fd >= 0; }
+  /// False once the other side has closed or reset the connection.
+  bool IsUsable() const {
+    char byte = 0;
+    const ssize_t count = ::recv(this->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count > 0 || (count < 0 && errno == EAGAIN);
+  }
   bool Send(const std::string& bytes, Clock::time_point deadline) {
     std::size_t sent = 0;
     while (sent < bytes.size()) {
@@ -233,7 +239,8 @@
   bool Wait(short events, Clock::time_point deadline) const {
     if (this->fd < 0) return false;
     while (true) {
-      const auto left = std::chrono::ceil<milliseconds>(deadline - Clock::now());
+      const auto left =
+          std::chrono::ceil<milliseconds>(deadline - Clock::now());
       if (left.count() <= 0) return false;
       pollfd poll{this->fd, events, 0};
       const int ready = ::poll(&poll, 1, static_cast<int>(left.count()));
@@ -418,8 +425,8 @@
       std::ifstream in(log);
       std::string line;
       if (std::getline(in, line) && line.rfind(prefix, 0) == 0 && !in.eof()) {
-        this->port = static_cast<std::uint16_t>(
-            std::stoul(line.substr(prefix.size())));
+        this->port =
+            static_cast<std::uint16_t>(std::stoul(line.substr(prefix.size())));
         return;
       }
       Sleep(milliseconds(20));
@@ -498,6 +505,23 @@
     }
   }
   std::uint16_t Port() const { return this->front; }
+  /// Returns the value of the first metric whose name ends with `name`.
+  double Metric(const std::string& name) const {
+    const Answer answer =
+        Call(this->ready, "GET /metrics HTTP/1.1\r\nHost: r\r\n\r\n",
+             milliseconds(500));
+    std::istringstream lines(answer.body);
+    std::string line;
+    while (std::getline(lines, line)) {
+      const std::size_t space = line.rfind(' ');
+      if (line.empty() || line[0] == '#' || space == std::string::npos)
+        continue;
+      if (line.substr(0, space).ends_with(name)) {
+        return std::atof(line.c_str() + space);
+      }
+    }
+    return -1;
+  }
 
   Process process;
 
