core, peer: do not take a full send buffer for a broken connection

Callers that sent requests ahead and read slowly lost their connection in the middle of an answer, with the answers behind it. Connections between daemons ended whenever frames did not fit into the kernel's buffer.

Cause: on a non-blocking socket POCO 1.11 throws an IOException with the code EAGAIN when the buffer is full. Only a TimeoutException, which it throws for ETIMEDOUT, was taken for a full buffer. The first write of a message mostly sends a part and stops there, so only a second write on the blocked connection shows it: another answer, a frame, or a store call whose answer begins early.

SendAvailable, the one place that sends without waiting, tells the two apart by the code of the error.

--- a/lib/core/http_connection.cc
+++ b/lib/core/http_connection.cc
@@ -3,13 +3,14 @@
 #include <Poco/Exception.h>
 #include <Poco/MemoryStream.h>
 #include <Poco/Net/NetException.h>
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
 #include <memory>
 #include <utility>
 
+#include "bamboorack/core/socket_send.h"
+
 namespace bamboorack {
 namespace {
 
@@ -183,23 +184,13 @@
 
 HttpConnection::IoStatus HttpConnection::SendFront(bool& is_blocked) {
   const std::string& front = *this->output.front();
-  const std::size_t left = front.size() - this->front_sent;
-  try {
-    const int sent = this->socket.sendBytes(
-        front.data() + this->front_sent, static_cast<int>(left), MSG_NOSIGNAL);
-    if (sent < 0) {
-      is_blocked = true;
-      return IoStatus::kOk;
-    }
-    this->bytes_written += static_cast<std::uint64_t>(sent);
-    this->front_sent += static_cast<std::size_t>(sent);
-    is_blocked = static_cast<std::size_t>(sent) < left;
-  } catch (const Poco::TimeoutException&) {
-    is_blocked = true;
-    return IoStatus::kOk;
-  } catch (const Poco::Exception&) {
-    return IoStatus::kFailed;
-  }
+  const std::string_view left =
+      std::string_view(front).substr(this->front_sent);
+  const auto sent = SendAvailable(this->socket, left);
+  if (!sent) return IoStatus::kFailed;
+  this->bytes_written += *sent;
+  this->front_sent += *sent;
+  is_blocked = *sent < left.size();
   if (this->front_sent == front.size()) {
     this->output.pop_front();
     this->front_sent = 0;
--- a/lib/peer/frame_connection.cc
+++ b/lib/peer/frame_connection.cc
@@ -4,6 +4,8 @@
 
 #include <array>
 
+#include "bamboorack/core/socket_send.h"
+
 namespace bamboorack::peer {
 namespace {
 
@@ -53,16 +55,12 @@
 }
 
 bool FrameConnection::Flush() {
-  try {
-    while (this->HasOutput()) {
-      const int count = this->socket.sendBytes(
-          this->output.data() + this->sent,
-          static_cast<int>(this->output.size() - this->sent));
-      if (count <= 0) break;
-      this->sent += static_cast<std::size_t>(count);
-    }
-  } catch (const Poco::Exception&) {
-    return false;
+  while (this->HasOutput()) {
+    const auto count = SendAvailable(
+        this->socket, std::string_view(this->output).substr(this->sent));
+    if (!count) return false;
+    if (*count == 0) break;
+    this->sent += *count;
   }
   if (this->HasOutput()) return true;
   this->output.clear();
--- a/unittests/caller/caller_pipeline_test.cc
+++ b/unittests/caller/caller_pipeline_test.cc
@@ -202,6 +202,33 @@
   }
 }
 
+// An answer is written while the kernel takes no more bytes of the one before.
+SCENARIO("answers are cut off since their caller reads slowly") {
+  GIVEN("requests at once, and a first answer that fills the buffers") {
+    Fixture fixture;
+    RawPeer caller = fixture.Connect();
+    caller.Send(Get("a") + Get("b") + Get("c") + Get("d"));
+    std::vector<RequestArrived> arrived;
+    for (int i = 0; i < 4; ++i) arrived.push_back(fixture.NextRequest());
+    const std::string large(16'000'000, 'a');
+    fixture.Reply(arrived[0].slot, MakeAnswer(large));
+    WHEN("the others are answered before the caller reads") {
+      for (int i = 1; i < 4; ++i) {
+        std::this_thread::sleep_for(milliseconds(50));
+        fixture.Reply(arrived[i].slot, MakeAnswer("small"));
+      }
+      std::this_thread::sleep_for(milliseconds(50));
+      THEN("the caller gets all of them whole") {
+        CHECK(fixture.metrics.CountOf("caller_gone") == 0);
+        CHECK(caller.ReadMessage().ends_with(large));
+        for (int i = 1; i < 4; ++i) {
+          CHECK_THAT(caller.ReadMessage(), Catch::EndsWith("small"));
+        }
+      }
+    }
+  }
+}
+
 SCENARIO("one caller's flood of requests takes the place of others") {
   CallerThreadSettings settings;
   settings.pipeline.requests_per_connection = 3;
--- a/unittests/core/http_connection_test.cc
+++ b/unittests/core/http_connection_test.cc
@@ -95,6 +95,10 @@
     CHECK(connection.HasOutput());
     CHECK(connection.BytesWritten() > 0);
     CHECK(connection.BytesWritten() < body->size());
+    THEN("it is not taken for one whose connection is broken") {
+      CHECK(connection.Write() == HttpConnection::IoStatus::kOk);
+      CHECK(connection.HasOutput());
+    }
   }
   SECTION("the peer resets a connection that is watched for nothing") {
     reactor.SetModes(key, 0);
--- a/unittests/support/raw_peer.h
+++ b/unittests/support/raw_peer.h
@@ -83,6 +83,9 @@
     return this->Take(std::min(length, this->input.size()));
   }
 
+  /// Returns the bytes that were received and not returned yet.
+  std::string TakeReceived() { return this->Take(this->input.size()); }
+
   /// Returns the next head and its body, if it has a Content-Length.
   std::string ReadMessage() {
     std::string message = this->ReadHead();
@@ -110,6 +113,12 @@
 
   void Close() { this->socket.close(); }
 
+  /// Closes the connection with a reset.
+  void Reset() {
+    this->socket.setLinger(true, 0);
+    this->socket.close();
+  }
+
  private:
   /// Returns false at the end of the connection. Throws after 10 s without
   /// data.
