core, upstream: do not take a reset after a failed write for the end of data

The answer had no length, and its connection was reset while the upload was still written.

Cause: the kernel reports the error of a socket once. The write that fails takes it, and the read after it returns 0 bytes, as after a close in good order, which completes an answer without a length. If the upload has been written, the read gets the error itself and the answer fails as it should.

HttpConnection, the one type that reads and writes, now remembers that an operation failed. The end of the data after a failure is a failure. That covers all users: answers of upstreams, of the store and of the list of VMs, kept connections, and callers. The pending error after a connect is taken there as well (IsConnected). HttpClient was safe already: it ends the call when its write fails.

--- a/include/bamboorack/core/http_connection.h
+++ b/include/bamboorack/core/http_connection.h
@@ -55,7 +55,9 @@
   explicit HttpConnection(const Poco::Net::StreamSocket& stream);
 
   /// Reads what has arrived, up to a few reads so that one peer cannot hold
-  /// the thread, and until the input holds `max_input` bytes.
+  /// the thread, and until the input holds `max_input` bytes. `kClosed` means
+  /// that the peer ended its data itself: after any failure of this connection
+  /// the end of the data is `kFailed`, as bytes before it may be missing.
   IoStatus Read(std::size_t max_input);
   /// Reads and discards what has arrived.
   IoStatus ReadAndDiscard();
@@ -72,6 +74,9 @@
   bool HasOutput() const { return !this->output.empty(); }
   /// Bytes that the kernel has taken since the connection was opened.
   std::uint64_t BytesWritten() const { return this->bytes_written; }
+  /// Returns whether the connection that was opened without blocking is there.
+  /// Call when the socket is writable.
+  bool IsConnected();
 
   /// Makes the end of this connection a reset: what was sent and not received
   /// yet is lost.
@@ -85,12 +90,18 @@
  private:
   IoStatus Receive(std::string* target, std::size_t max_input);
   IoStatus SendFront(bool& is_blocked);
+  /// Remembers that the connection is broken. Returns `kFailed`.
+  IoStatus Fail();
 
   Poco::Net::StreamSocket socket;
   std::string input;
   std::deque<Body> output;
   std::size_t front_sent = 0;
   std::uint64_t bytes_written = 0;
+  /// The kernel reports an error of the socket once, to whatever call comes
+  /// first. A read after that returns the end of the data, as after a close in
+  /// good order.
+  bool has_failed = false;
 };
 
 }  // namespace bamboorack
--- a/lib/core/http_connection.cc
+++ b/lib/core/http_connection.cc
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 #include <Poco/MemoryStream.h>
 #include <Poco/Net/NetException.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -125,7 +126,9 @@
         static_cast<int>(std::min(buffer.size(), max_input - held));
     try {
       const int received = this->socket.receiveBytes(buffer.data(), wanted);
-      if (received == 0) return IoStatus::kClosed;
+      if (received == 0) {
+        return this->has_failed ? IoStatus::kFailed : IoStatus::kClosed;
+      }
       if (received < 0) return IoStatus::kOk;
       if (target != nullptr) {
         target->append(buffer.data(), static_cast<std::size_t>(received));
@@ -134,7 +137,7 @@
     } catch (const Poco::TimeoutException&) {
       return IoStatus::kOk;
     } catch (const Poco::Exception&) {
-      return IoStatus::kFailed;
+      return this->Fail();
     }
   }
   return IoStatus::kOk;
@@ -182,12 +185,24 @@
   }
 }
 
+bool HttpConnection::IsConnected() {
+  int error = 0;
+  this->socket.impl()->getOption(SOL_SOCKET, SO_ERROR, error);
+  if (error != 0) this->Fail();
+  return !this->has_failed;
+}
+
+HttpConnection::IoStatus HttpConnection::Fail() {
+  this->has_failed = true;
+  return IoStatus::kFailed;
+}
+
 HttpConnection::IoStatus HttpConnection::SendFront(bool& is_blocked) {
   const std::string& front = *this->output.front();
   const std::string_view left =
       std::string_view(front).substr(this->front_sent);
   const auto sent = SendAvailable(this->socket, left);
-  if (!sent) return IoStatus::kFailed;
+  if (!sent) return this->Fail();
   this->bytes_written += *sent;
   this->front_sent += *sent;
   is_blocked = *sent < left.size();
--- a/lib/upstream/upstream_reactor.cc
+++ b/lib/upstream/upstream_reactor.cc
@@ -3,7 +3,6 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/SocketAddress.h>
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <chrono>
@@ -386,10 +385,8 @@
 
 void UpstreamReactor::OnConnecting(Connection& connection,
                                    const PollReactor::Event& event) {
-  int error = 0;
-  connection.http.Socket().impl()->getOption(SOL_SOCKET, SO_ERROR, error);
   const PoolId id = connection.pool;
-  if (error != 0 || event.has_failed) {
+  if (!connection.http.IsConnected() || event.has_failed) {
     this->Close(connection);
     this->OnConnectFailed(id);
   } else {
--- a/unittests/core/http_client_test.cc
+++ b/unittests/core/http_client_test.cc
@@ -43,21 +43,33 @@
   }
 
   /// Makes a call in another thread.
-  std::future<Reply> Call(MonotonicTime deadline) {
-    return std::async(std::launch::async, [this, deadline] {
-      return this->client->Call({"POST", "/append", "record"}, deadline,
+  std::future<Reply> Call(MonotonicTime deadline,
+                          const std::string& body = "record") {
+    return std::async(std::launch::async, [this, deadline, body] {
+      return this->client->Call({"POST", "/append", body}, deadline,
                                 this->stop.get_token());
     });
   }
 
-  RawPeer Accept() {
+  RawPeer AcceptConnection() {
     REQUIRE(this->listener.poll(Poco::Timespan(10, 0),
                                 Poco::Net::Socket::SELECT_READ));
-    RawPeer peer(this->listener.acceptConnection());
+    return RawPeer(this->listener.acceptConnection());
+  }
+
+  RawPeer Accept() {
+    RawPeer peer = this->AcceptConnection();
     peer.ReadMessage();
     return peer;
   }
 
+  /// Accepts a call and leaves its body unread.
+  RawPeer AcceptHead() {
+    RawPeer peer = this->AcceptConnection();
+    peer.ReadHead();
+    return peer;
+  }
+
   Poco::Net::ServerSocket listener;
   std::unique_ptr<HttpClient> client;
   std::stop_source stop;
@@ -169,6 +181,31 @@
   ExpectFailure(call);
 }
 
+// The client writes its call while it reads. A failed write takes the error of
+// the socket, and the next read reports an end in good order.
+SCENARIO("an answer that is reset midway is taken for a whole one") {
+  Fixture fixture;
+  auto call = fixture.Call(TestDeadline(), std::string(16'000'000, 'r'));
+  RawPeer peer = fixture.AcceptHead();
+  GIVEN("a server that answers before it has read the call") {
+    peer.Send("HTTP/1.1 200 OK\r\n\r\nfirst half, ");
+    std::this_thread::sleep_for(milliseconds(50));
+    WHEN("it resets the connection") {
+      peer.Reset();
+      THEN("the call fails, and may have run") { ExpectFailure(call); }
+    }
+    WHEN("it sends the rest and closes its direction") {
+      peer.Send("second half");
+      peer.CloseSend();
+      THEN("the answer is whole") {
+        const Reply reply = call.get();
+        REQUIRE(reply.has_value());
+        CHECK(reply->body == "first half, second half");
+      }
+    }
+  }
+}
+
 SCENARIO("bytes that belong to no call become the answer to the next one") {
   Fixture fixture;
   const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
--- a/unittests/core/http_connection_test.cc
+++ b/unittests/core/http_connection_test.cc
@@ -123,6 +123,59 @@
   }
 }
 
+// The kernel reports the error of a socket once. Whoever takes it leaves the
+// next read an end of the data that looks like a close in good order.
+SCENARIO("a reset passes for the end of the data") {
+  SocketPair pair;
+  PollReactor reactor;
+  HttpConnection connection(pair.server);
+  reactor.Add(connection.Socket(), PollSet::POLL_READ);
+  GIVEN("a peer that sends a part and does not read what is sent to it") {
+    connection.Queue({"head", std::make_shared<const std::string>(
+                                  std::size_t{64} << 20, 'x')});
+    REQUIRE(connection.Write() == HttpConnection::IoStatus::kOk);
+    REQUIRE(connection.HasOutput());
+    pair.client.sendBytes("part", 4);
+    REQUIRE(reactor.Wait(TestDeadline()).size() == 1);
+    REQUIRE(connection.Read(100) == HttpConnection::IoStatus::kOk);
+    REQUIRE(connection.Input() == "part");
+    WHEN("it resets the connection") {
+      pair.client.setLinger(true, 0);
+      pair.client.close();
+      REQUIRE(reactor.Wait(TestDeadline()).size() == 1);
+      THEN("a read after a failed write fails") {
+        REQUIRE(connection.Write() == HttpConnection::IoStatus::kFailed);
+        CHECK(connection.Read(100) == HttpConnection::IoStatus::kFailed);
+        CHECK(connection.Read(100) == HttpConnection::IoStatus::kFailed);
+      }
+      THEN("a read after a failed read fails") {
+        REQUIRE(connection.Read(100) == HttpConnection::IoStatus::kFailed);
+        CHECK(connection.Read(100) == HttpConnection::IoStatus::kFailed);
+        CHECK(connection.ReadAndDiscard() == HttpConnection::IoStatus::kFailed);
+      }
+      THEN("a read after the error was asked for fails") {
+        CHECK_FALSE(connection.IsConnected());
+        CHECK(connection.Read(100) == HttpConnection::IoStatus::kFailed);
+      }
+    }
+    WHEN("it sends the rest and closes its direction") {
+      pair.client.sendBytes("rest", 4);
+      pair.client.shutdownSend();
+      THEN("the data ends in good order") {
+        const MonotonicTime end = TestDeadline();
+        auto status = HttpConnection::IoStatus::kOk;
+        while (status == HttpConnection::IoStatus::kOk) {
+          REQUIRE(steady_clock::now() < end);
+          reactor.Wait(end);
+          status = connection.Read(100);
+        }
+        CHECK(status == HttpConnection::IoStatus::kClosed);
+        CHECK(connection.Input() == "partrest");
+      }
+    }
+  }
+}
+
 SCENARIO("a thread that waits for sockets misses a push or a deadline") {
   PollReactor reactor;
   SECTION("a wake-up before the wait ends it") {
--- a/unittests/support/raw_peer.h
+++ b/unittests/support/raw_peer.h
@@ -113,6 +113,9 @@
 
   void Close() { this->socket.close(); }
 
+  /// Closes the sending direction in good order.
+  void CloseSend() { this->socket.shutdownSend(); }
+
   /// Closes the connection with a reset.
   void Reset() {
     this->socket.setLinger(true, 0);
