core: do not take a connection that timed out for one in good order

A read that ends with ETIMEDOUT counted as "nothing has arrived", and the next one returned 0 bytes, as after a close in good order. An answer without a length would have been complete. The cause is the same as for the reset after a failed write: the error is reported once. POCO throws TimeoutException for ETIMEDOUT alone on a non-blocking socket; without data its receive call returns -1.

Before, "it takes nothing for too long" failed with kOk and then kClosed.

--- a/lib/core/http_connection.cc
+++ b/lib/core/http_connection.cc
@@ -134,8 +134,6 @@
         target->append(buffer.data(), static_cast<std::size_t>(received));
       }
       if (received < wanted) return IoStatus::kOk;
-    } catch (const Poco::TimeoutException&) {
-      return IoStatus::kOk;
     } catch (const Poco::Exception&) {
       return this->Fail();
     }
--- a/unittests/core/http_connection_test.cc
+++ b/unittests/core/http_connection_test.cc
@@ -2,6 +2,8 @@
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -158,6 +160,15 @@
         CHECK(connection.Read(100) == HttpConnection::IoStatus::kFailed);
       }
     }
+    WHEN("it takes nothing for too long") {
+      const int timeout_ms = 1;
+      pair.server.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, timeout_ms);
+      REQUIRE(reactor.Wait(TestDeadline()).size() == 1);
+      THEN("all reads after that fail") {
+        CHECK(connection.Read(100) == HttpConnection::IoStatus::kFailed);
+        CHECK(connection.Read(100) == HttpConnection::IoStatus::kFailed);
+      }
+    }
     WHEN("it sends the rest and closes its direction") {
       pair.client.sendBytes("rest", 4);
       pair.client.shutdownSend();
