daemon: relay an upstream again that came back

Followers could miss an upstream that was removed and registered again. The leader leaves out entries that equal what it relayed before, since heartbeats would fill the network. It remembered them beyond its term, while another daemon may have relayed that an entry is gone, and beyond a whole read of the registry, which followers do themselves and from which an entry may be missing. A follower that had dropped the entry then got none of its heartbeats until it read the log itself.

What was relayed is now forgotten at both.

--- a/lib/daemon/ownership_controller.cc
+++ b/lib/daemon/ownership_controller.cc
@@ -220,6 +220,8 @@
     this->saved_change = 0;
     this->sent_change = 0;
     this->unreachable_since.reset();
+    // Entries may have come and gone while another daemon relayed them.
+    this->relayed_entries.clear();
     this->LogEvent(
         EventKind::kOwnership, "leadership_taken",
         {{"term", TextOf(this->leadership.OwnTerm())},
--- a/lib/daemon/ownership_controller_topics.cc
+++ b/lib/daemon/ownership_controller_topics.cc
@@ -80,6 +80,11 @@
   relay.end = update.end;
   // Relays of the desired state carry no records: it may be larger than a
   // datagram, and it changes rarely.
+  // The entries that a whole read lacks are gone, and followers read it
+  // themselves.
+  if (update.topic == Topic::kUpstreams && update.is_complete) {
+    this->relayed_entries.clear();
+  }
   if (update.topic == Topic::kUpstreams && !update.is_complete) {
     relay.records.emplace();
     for (const log_service::KeyedRecord& record : update.records) {
--- a/unittests/daemon/ownership_controller_test.cc
+++ b/unittests/daemon/ownership_controller_test.cc
@@ -375,5 +375,51 @@
   CHECK(fixture.relays.size() == 1);
 }
 
+// Entries that only count down are not relayed again, so that heartbeats of
+// upstreams do not fill the network.
+SCENARIO("followers miss an upstream that came back") {
+  Fixture fixture;
+  fixture.Update(Topic::kDesiredState, {{"state", "3"}});
+  fixture.Update(Topic::kUpstreams, {{"u0", "reader"}});
+  fixture.Run(seconds(3));
+  REQUIRE_FALSE(fixture.controller.IsHandedOver());
+  const auto is_relayed = [&fixture](const std::string& key) {
+    fixture.gossip.clear();
+    fixture.Update(Topic::kUpstreams, {{key, "reader"}}, false);
+    for (const peer::ToGossip& message : fixture.gossip) {
+      const auto* relay = std::get_if<peer::RecordRelay>(&message);
+      if (relay == nullptr || !relay->records) continue;
+      for (const auto& [relayed, value] : *relay->records) {
+        if (relayed == key) return true;
+      }
+    }
+    return false;
+  };
+  GIVEN("an upstream whose entry the leader has relayed") {
+    REQUIRE(is_relayed("u1"));
+    THEN("the same entry is not relayed again") {
+      CHECK_FALSE(is_relayed("u1"));
+    }
+    WHEN("it is removed and registers again") {
+      fixture.Update(Topic::kUpstreams, {{"u1", std::nullopt}}, false);
+      THEN("it is relayed") { CHECK(is_relayed("u1")); }
+    }
+    WHEN("it is missing from a whole read and registers again") {
+      fixture.Update(Topic::kUpstreams, {{"u0", "reader"}});
+      THEN("it is relayed") { CHECK(is_relayed("u1")); }
+    }
+    WHEN("another daemon leads for a while") {
+      peer::LeaderBeat beat;
+      beat.sender = DaemonId("d1");
+      beat.version = {Term(9), 0};
+      fixture.Collect(fixture.controller.OnGossip(beat, fixture.now));
+      REQUIRE(fixture.controller.IsHandedOver());
+      fixture.Run(seconds(20));
+      REQUIRE_FALSE(fixture.controller.IsHandedOver());
+      THEN("it is relayed in the new term") { CHECK(is_relayed("u1")); }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace bamboorack::daemon
