daemon: do not send queued requests to an upstream that left long ago

A leaving upstream gets requests for its keys for 900 ms, until they have moved. That was checked when a request was scheduled, but not when one that had been queued in that time got its turn: it was sent whenever the upstream had room, until a new map of owners came.

When the time of the upstream is over, the requests of its queue are scheduled again: they wait for the next owner of their keys, and are refused as not run if there is none in time.

--- a/include/bamboorack/daemon/gateway_router.h
+++ b/include/bamboorack/daemon/gateway_router.h
@@ -127,6 +127,9 @@
   void SendOrEnqueue(PendingRequest& pending, const QueueKey& key, bool is_new);
   void WaitForOwner(PendingRequest& pending);
   void DrainQueue(const QueueKey& key);
+  /// Schedules the requests of `queue` again; they wait for the next owner of
+  /// their keys if theirs has left.
+  void RescheduleQueue(upstream::WaitQueue& queue);
   void DrainAllQueues();
   void RescheduleWaiting();
   std::optional<UpstreamId> PickUpstream(const PendingRequest& pending,
--- a/include/bamboorack/upstream/wait_queue.h
+++ b/include/bamboorack/upstream/wait_queue.h
@@ -45,6 +45,8 @@
   /// Removes and returns the requests that can no longer be answered within
   /// their time limit.
   std::vector<QueueEntry> RemoveExpired(MonotonicTime now);
+  /// Removes all entries and returns them, oldest first.
+  std::vector<QueueEntry> TakeAll();
 
   /// Counts one request that an upstream has completed, to measure the service
   /// rate.
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -361,6 +361,13 @@
   const auto found = this->queues.find(key);
   if (found == this->queues.end()) return;
   upstream::WaitQueue& queue = found->second;
+  const bool has_left =
+      !key.upstream.IsEmpty() &&
+      !this->load_balancer.MayServeKeys(key.upstream, this->now);
+  if (has_left) {
+    this->RescheduleQueue(queue);
+    return;
+  }
   while (!queue.IsEmpty()) {
     const auto entry = queue.Pop(this->now);
     if (!entry) return;
@@ -374,6 +381,14 @@
   }
 }
 
+void GatewayRouter::RescheduleQueue(upstream::WaitQueue& queue) {
+  for (const upstream::QueueEntry& entry : queue.TakeAll()) {
+    PendingRequest& pending = this->requests.at(entry.request);
+    pending.stage = Stage::kUnscheduled;
+    this->ScheduleRequest(pending, false);
+  }
+}
+
 void GatewayRouter::DrainAllQueues() {
   for (auto& [key, queue] : this->queues) {
     if (!queue.IsEmpty()) this->DrainQueue(key);
--- a/lib/upstream/wait_queue.cc
+++ b/lib/upstream/wait_queue.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace bamboorack::upstream {
 namespace {
@@ -76,6 +77,16 @@
          }) > 0;
 }
 
+std::vector<QueueEntry> WaitQueue::TakeAll() {
+  std::vector<QueueEntry> all = std::exchange(this->entries, {});
+  std::sort(all.begin(), all.end(),
+            [](const QueueEntry& a, const QueueEntry& b) {
+              return std::tie(a.arrived_at, a.request) <
+                     std::tie(b.arrived_at, b.request);
+            });
+  return all;
+}
+
 std::vector<QueueEntry> WaitQueue::RemoveExpired(MonotonicTime now) {
   std::vector<QueueEntry> expired;
   std::erase_if(this->entries, [&](const QueueEntry& entry) {
--- a/unittests/daemon/gateway_router_test.cc
+++ b/unittests/daemon/gateway_router_test.cc
@@ -238,6 +238,47 @@
   }
 }
 
+// Requests that were queued while the upstream still got some.
+SCENARIO("a queued request is sent to an upstream that left long ago") {
+  GatewayRouterFixture fixture;
+  fixture.Publish();
+  fixture.upstreams[0].is_draining = true;
+  fixture.Publish();
+  GIVEN("more requests than it takes, late in the time that it has") {
+    fixture.AdvanceTime(milliseconds(850));
+    std::uint64_t slot = 0;
+    while (fixture.dispatches.size() == slot) {
+      fixture.Send(++slot, "/read/a", "5");
+    }
+    const std::size_t sent = fixture.dispatches.size();
+    WHEN("it answers after that time") {
+      fixture.AdvanceTime(milliseconds(60));
+      fixture.CompleteDispatch(fixture.dispatches[0],
+                               GatewayRouterFixture::Ok());
+      fixture.AdvanceTime(milliseconds(20));
+      THEN("it gets none of those that wait") {
+        CHECK(fixture.dispatches.size() == sent);
+        CHECK(fixture.router.WaitingCount() == 1);
+      }
+      THEN("they are refused as not run if no other one gets the key") {
+        fixture.AdvanceTime(milliseconds(800));
+        CHECK(fixture.dispatches.size() == sent);
+        REQUIRE(fixture.answers.size() == 2);
+        CHECK(fixture.answers[1].result.error().ending == Ending::kNotRun);
+      }
+      THEN("they go to the next owner of the key") {
+        fixture.owners.version = {Term(1), 2};
+        fixture.owners.services[ServiceName("reader")] = {
+            {{ShardKey(0), kLastKey},
+             UpstreamRun{UpstreamId("r1"), UpstreamLife(1)}}};
+        fixture.Publish();
+        REQUIRE(fixture.dispatches.size() == sent + 1);
+        CHECK(fixture.dispatches.back().upstream.id == UpstreamId("r1"));
+      }
+    }
+  }
+}
+
 SCENARIO("a queue grows longer than the deadlines of its requests allow") {
   Fixture fixture;
   fixture.Publish();
