upstream: bound Keep-Alive before it is turned into milliseconds

From 9.3e15 s on, the product of the conversion overflows, which is undefined; here the time became negative, so the connection was closed at once.

Before, the test failed for 3 of 5 values (the connection was closed); all pass now.

--- a/lib/upstream/upstream_reactor.cc
+++ b/lib/upstream/upstream_reactor.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <utility>
 #include <variant>
 
@@ -35,6 +36,8 @@
 /// transit.
 std::optional<milliseconds> KeepAliveTimeoutOf(const AnswerHead& head) {
   constexpr milliseconds kMargin{1'000};
+  // Keeps the conversion to milliseconds from overflowing.
+  constexpr std::chrono::seconds kMaxKeepAlive{std::chrono::hours(24)};
   constexpr std::string_view kParameter = "timeout=";
   const std::string* value = head.Find("Keep-Alive");
   if (value == nullptr) return std::nullopt;
@@ -42,13 +45,12 @@
   if (start == std::string::npos) return std::nullopt;
   const std::size_t begin = start + kParameter.size();
   const std::size_t end = value->find_first_not_of("0123456789", begin);
-  const auto seconds =
+  const auto number =
       ParseDecimal(std::string_view(*value).substr(begin, end - begin));
-  if (!seconds) return std::nullopt;
-  return std::max(
-      std::chrono::duration_cast<milliseconds>(std::chrono::seconds(*seconds)) -
-          kMargin,
-      milliseconds(0));
+  if (!number) return std::nullopt;
+  const std::chrono::seconds timeout(
+      std::min<std::uint64_t>(*number, kMaxKeepAlive.count()));
+  return std::max(milliseconds(timeout) - kMargin, milliseconds(0));
 }
 
 }  // namespace
--- a/unittests/upstream/upstream_thread_test.cc
+++ b/unittests/upstream/upstream_thread_test.cc
@@ -240,6 +240,29 @@
   }
 }
 
+// The time is turned into milliseconds, where a large one overflows.
+SCENARIO("a connection is closed early since it may stay open for long") {
+  const auto timeout = GENERATE(
+      values<std::string>({"3600", "9300000000000000", "9223372036854775807",
+                           "18446744073709551615", "99999999999999999999"}));
+  GIVEN("an answer with Keep-Alive: timeout=" + timeout) {
+    Fixture fixture;
+    fixture.Push(fixture.MakeDispatch(1));
+    RawPeer upstream = fixture.Accept();
+    upstream.ReadMessage();
+    upstream.Send(
+        Ok("", "X-Request-Id: r1\r\nKeep-Alive: timeout=" + timeout + "\r\n"));
+    REQUIRE(fixture.NextResult().result.has_value());
+    std::this_thread::sleep_for(milliseconds(20));
+    WHEN("another request follows") {
+      fixture.Push(fixture.MakeDispatch(2));
+      THEN("it comes on the same connection") {
+        CHECK_THAT(upstream.ReadMessage(), StartsWith("GET /k2 "));
+      }
+    }
+  }
+}
+
 SCENARIO("a cancelled request runs on at the upstream") {
   Fixture fixture;
   fixture.Push(fixture.MakeDispatch(1));
