tools: answer uploads unread and reset, over links with small windows

Its stand-ins answered early, or without a length, or with a reset, never all at once; the buffers on the way took a whole upload; and its proxy turned each reset into a close in good order, as it called shutdown.

The stand-in of the platform's upstreams can answer one upload of so many before it reads it, in the middle of an answer without a length or whole with a length, and then reset (--broken-off-answer-every); all upstreams of the soak do. One request with a body of ten has 360,000 bytes. The proxy resets for real and asks the kernel whether an end of data was one in good order, since a reset may be reported to its other thread.

--- a/tools/fakes/common/http_fake.h
+++ b/tools/fakes/common/http_fake.h
@@ -24,6 +24,8 @@
 #include <string>
 #include <tuple>
 
+#include "common/small_windows.h"
+
 namespace bamboorack::fakes {
 
 /// Makes a `Handler` of references to `Parts` for each request.
@@ -59,12 +61,14 @@
 
 /// Starts a server of up to `threads` connections on loopback that passes all
 /// requests to `fake`. The servers of one kind of stand-in share their threads.
+/// `has_small_windows` makes an upload too large for the buffers on the way.
 template <int threads, typename Fake>
-std::unique_ptr<Poco::Net::HTTPServer> ServeOnLoopback(Fake& fake,
-                                                       std::uint16_t port) {
+std::unique_ptr<Poco::Net::HTTPServer> ServeOnLoopback(
+    Fake& fake, std::uint16_t port, bool has_small_windows = false) {
   // Without SO_REUSEPORT, so that two stand-ins cannot share a port.
   Poco::Net::ServerSocket socket;
   socket.bind(Poco::Net::SocketAddress("127.0.0.1", port), true, false);
+  if (has_small_windows) tools::UseSmallWindows(socket);
   socket.listen(threads);
   Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
   params->setMaxThreads(threads);
--- a/tools/fakes/platform_upstream/main.cc
+++ b/tools/fakes/platform_upstream/main.cc
@@ -33,6 +33,8 @@
                  "answer one request of so many a second time, late");
   app.add_option("--own-rejection-every", settings.own_rejection_every,
                  "run one request of so many and answer 503, 429, 408 or 421");
+  app.add_option("--broken-off-answer-every", settings.broken_off_answer_every,
+                 "answer one upload of so many unread, and then reset");
   CLI11_PARSE(app, argc, argv);
   settings.work = std::chrono::milliseconds(work_ms);
   const sigset_t signals = bamboorack::tools::BlockSignals({SIGTERM, SIGINT});
--- a/tools/fakes/platform_upstream/platform_upstream.cc
+++ b/tools/fakes/platform_upstream/platform_upstream.cc
@@ -26,6 +26,10 @@
 constexpr milliseconds kHeartbeat{400};
 constexpr milliseconds kStoreLimit{1'000};
 constexpr int kThreads = 48;
+// Smaller uploads may fit into the buffers on the way.
+constexpr std::int64_t kMinUpload = 100'000;
+// The caller gets the part of the answer before the reset.
+constexpr milliseconds kResetDelay{40};
 // Statuses that mean that a request did not run, if the answer says so.
 constexpr std::array kRejections = {503, 429, 408, 421};
 
@@ -37,7 +41,10 @@
   return milliseconds(std::stoll(text));
 }
 
-void Refuse(HTTPServerResponse& response, int status) {
+void Refuse(HTTPServerRequest& request, HTTPServerResponse& response,
+            int status) {
+  // What is left of the body would be taken for the next request.
+  ReadBody(request);
   response.set("X-Not-Executed", "1");
   SendJson(response, status, "{}");
 }
@@ -55,7 +62,7 @@
 PlatformUpstream::~PlatformUpstream() { this->Stop(); }
 
 void PlatformUpstream::Start(std::uint16_t port) {
-  this->server = ServeOnLoopback<kThreads>(*this, port);
+  this->server = ServeOnLoopback<kThreads>(*this, port, true);
   this->beat_thread =
       std::jthread([this](const std::stop_token& stop) { this->Beat(stop); });
 }
@@ -212,11 +219,12 @@
 }
 
 bool PlatformUpstream::AskForTime(std::uint64_t number,
+                                  HTTPServerRequest& request,
                                   HTTPServerResponse& response) {
   const std::uint32_t every = this->settings.pause_every;
   if (every == 0 || number % every != 0) return false;
   response.set("Retry-After", this->settings.retry_after);
-  Refuse(response, 503);
+  Refuse(request, response, 503);
   return true;
 }
 
@@ -238,28 +246,58 @@
   }
 }
 
+bool PlatformUpstream::IsAnsweredEarly(const HTTPServerRequest& request,
+                                       std::uint64_t number) const {
+  const std::uint32_t every = this->settings.broken_off_answer_every;
+  return every != 0 && number % every == 0 &&
+         request.getContentLength64() >= kMinUpload;
+}
+
+void PlatformUpstream::BreakOff(HTTPServerRequest& request,
+                                const HTTPServerResponse& response,
+                                const std::string& body, bool is_whole) {
+  std::ostringstream answer;
+  response.write(answer);
+  answer << (is_whole ? body : body.substr(0, body.size() / 2));
+  const std::string text = answer.str();
+  auto& connection = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request);
+  Poco::Net::StreamSocket socket = connection.detachSocket();
+  try {
+    socket.sendBytes(text.data(), static_cast<int>(text.size()));
+    std::this_thread::sleep_for(kResetDelay);
+    socket.setLinger(true, 0);
+    socket.close();
+  } catch (const Poco::Exception&) {
+    // The caller has closed the connection.
+    return;
+  }
+}
+
 void PlatformUpstream::Run(HTTPServerRequest& request,
                            HTTPServerResponse& response) {
-  const std::string body = ReadBody(request);
+  const std::uint64_t number = ++this->requests;
+  const bool is_early = this->IsAnsweredEarly(request, number);
+  const std::int64_t length = request.getContentLength64();
+  if (!is_early) ReadBody(request);
   const std::string id = request.get("X-Request-Id", "");
   const std::string key_text = request.get("X-Shard-Key", "0");
   const auto key = static_cast<std::uint32_t>(std::stoul(key_text));
   response.set("X-Request-Id", id);
-  const std::uint64_t number = ++this->requests;
-  if (this->AskForTime(number, response)) return;
+  if (this->AskForTime(number, request, response)) return;
   {
     const std::lock_guard lock(this->mutex);
     if (this->settings.is_sharded && !this->HoldsLocked(key)) {
-      return Refuse(response, 421);
+      return Refuse(request, response, 421);
     }
-    if (this->busy >= this->settings.slots * 3) return Refuse(response, 503);
+    if (this->busy >= this->settings.slots * 3)
+      return Refuse(request, response, 503);
     ++this->busy;
     this->running.emplace(key, id);
     this->Write(
         "{\"event\":\"run\",\"at\":" + Nanoseconds(steady_clock::now()) +
         ",\"id\":\"" + id + "\",\"method\":\"" + request.getMethod() +
         "\",\"key\":" + std::to_string(key) +
-        ",\"body\":" + std::to_string(body.size()) + "}");
+        ",\"body\":" + std::to_string(std::max<std::int64_t>(length, 0)) + "}");
   }
   std::this_thread::sleep_for(this->settings.work);
   {
@@ -272,6 +310,15 @@
   }
   response.set("X-Server-Stamp", this->settings.id + "." + id);
   const std::string answer = "{\"id\":\"" + id + "\"}";
+  if (is_early) {
+    const bool is_whole =
+        number / this->settings.broken_off_answer_every % 2 == 0;
+    if (is_whole) {
+      response.setContentLength64(static_cast<Poco::Int64>(answer.size()));
+    }
+    this->BreakOff(request, response, answer, is_whole);
+    return;
+  }
   const std::uint32_t rejected = this->settings.own_rejection_every;
   if (rejected != 0 && number % rejected == 0) {
     SendJson(response, kRejections.at(number / rejected % kRejections.size()),
--- a/tools/fakes/platform_upstream/platform_upstream.h
+++ b/tools/fakes/platform_upstream/platform_upstream.h
@@ -44,6 +44,10 @@
   /// Runs one request of so many and then answers with a status that it
   /// otherwise uses for requests that did not run; 0 for none.
   std::uint32_t own_rejection_every = 0;
+  /// Answers one upload of so many before it has read it, and then resets the
+  /// connection: in turn in the middle of an answer without a length, and
+  /// after a whole one with a length; 0 for none.
+  std::uint32_t broken_off_answer_every = 0;
 };
 
 /// A stand-in for an upstream of the platform: registers itself, takes grants
@@ -78,12 +82,19 @@
   int Grant(const std::string& body, Time arrived);
   std::string Release(const std::string& body);
   /// Turns the request away if its turn has come. Returns whether it did.
-  bool AskForTime(std::uint64_t number,
+  bool AskForTime(std::uint64_t number, Poco::Net::HTTPServerRequest& request,
                   Poco::Net::HTTPServerResponse& response);
   /// Sends the same answer once more on the connection of the request.
   void SendAgain(Poco::Net::HTTPServerRequest& request,
                  const Poco::Net::HTTPServerResponse& response,
                  const std::string& body);
+  /// Whether the request is an upload that is answered before it is read.
+  bool IsAnsweredEarly(const Poco::Net::HTTPServerRequest& request,
+                       std::uint64_t number) const;
+  /// Sends an answer of which a part or the whole comes before a reset.
+  void BreakOff(Poco::Net::HTTPServerRequest& request,
+                const Poco::Net::HTTPServerResponse& response,
+                const std::string& body, bool is_whole);
   void CutLocked(std::uint32_t first, std::uint32_t last);
   bool HoldsLocked(std::uint32_t key) const;
   void Run(Poco::Net::HTTPServerRequest& request,
--- a/tools/platform_soak/cluster.cc
+++ b/tools/platform_soak/cluster.cc
@@ -24,6 +24,8 @@
 // Upstreams answer one request of so many with a status that means not run,
 // although they ran it.
 constexpr int kOwnRejectionEvery = 50;
+// They answer one upload of so many unread, and break off.
+constexpr int kBrokenOffAnswerEvery = 3;
 
 std::uint16_t FreePort() {
   Poco::Net::ServerSocket socket;
@@ -129,7 +131,9 @@
       "--advertise",
       std::to_string(upstream.link->Port()),
       "--own-rejection-every",
-      std::to_string(kOwnRejectionEvery)};
+      std::to_string(kOwnRejectionEvery),
+      "--broken-off-answer-every",
+      std::to_string(kBrokenOffAnswerEvery)};
   if (upstream.is_sharded) arguments.emplace_back("--sharded");
   upstream.process.Start(arguments, log);
   upstream.link->SetTarget(ReadPort(log));
--- a/tools/platform_soak/main.cc
+++ b/tools/platform_soak/main.cc
@@ -38,6 +38,10 @@
 constexpr seconds kHealTime{14};
 constexpr seconds kFinalCheck{4};
 constexpr double kServedAfterHealing = 0.9;
+// Of the requests with a body, one of so many is an upload.
+constexpr unsigned kUploadEvery = 10;
+constexpr std::size_t kUploadBytes = 360'000;
+constexpr std::size_t kSmallBodyBytes = 200;
 
 /// Sends requests from one thread over connections that it keeps.
 class Client {
@@ -80,7 +84,9 @@
       request.set("X-Request-Id", id);
       request.set("X-Deadline-Ms", "1500");
       request.set("X-Shard-Key", std::to_string(this->random() % 65'536));
-      const std::string body = kind == 0 ? "" : std::string(200, 'b');
+      const bool is_upload = kind != 0 && this->random() % kUploadEvery == 0;
+      const std::string body(
+          kind == 0 ? 0 : (is_upload ? kUploadBytes : kSmallBodyBytes), 'b');
       request.setContentLength(static_cast<int>(body.size()));
       this->session->sendRequest(request) << body;
       Poco::Net::HTTPResponse response;
--- a/tools/platform_soak/tcp_proxy.cc
+++ b/tools/platform_soak/tcp_proxy.cc
@@ -3,10 +3,15 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Timespan.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <chrono>
 
+#include "common/small_windows.h"
+
 namespace bamboorack::soak {
 namespace {
 
@@ -15,20 +20,32 @@
 constexpr std::chrono::milliseconds kDelay{150};
 const Poco::Timespan kPollTime(0, 100'000);
 
-void ResetQuietly(StreamSocket& socket) {
-  try {
-    socket.setLinger(true, 0);
-    socket.shutdown();
-  } catch (const Poco::Exception&) {
-    // Already closed.
-    return;
-  }
+// Bytes that the kernel holds for a server that does not read.
+constexpr int kSendBuffer = 8'192;
+
+/// Resets the connection. Keeps the descriptor, on which other threads wait.
+void Reset(StreamSocket& socket) {
+  sockaddr none{};
+  none.sa_family = AF_UNSPEC;
+  // Fails if the connection is closed already.
+  static_cast<void>(::connect(socket.impl()->sockfd(), &none, sizeof(none)));
+}
+
+/// Whether the end of the data that `socket` returned is one in good order. The
+/// error of a reset is reported once, maybe to the other thread.
+bool HasEndedInOrder(const StreamSocket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  const int status = ::getsockopt(socket.impl()->sockfd(), IPPROTO_TCP,
+                                  TCP_INFO, &info, &size);
+  return status == 0 && info.tcpi_state != TCP_CLOSE;
 }
 
 }  // namespace
 
 TcpProxy::TcpProxy() {
   this->listener.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true, false);
+  tools::UseSmallWindows(this->listener);
   this->listener.listen(256);
   this->thread =
       std::jthread([this](const std::stop_token& stop) { this->Accept(stop); });
@@ -50,8 +67,8 @@
   if (new_fault != LinkFault::kReset) return;
   const std::lock_guard lock(this->mutex);
   for (auto& link : this->links) {
-    ResetQuietly(link->client);
-    ResetQuietly(link->server);
+    Reset(link->client);
+    Reset(link->server);
   }
 }
 
@@ -64,7 +81,7 @@
     try {
       link->client = this->listener.acceptConnection();
       if (this->fault == LinkFault::kReset) {
-        ResetQuietly(link->client);
+        Reset(link->client);
         continue;
       }
       link->server.connect(
@@ -72,8 +89,9 @@
           Poco::Timespan(0, 300'000));
       link->client.setNoDelay(true);
       link->server.setNoDelay(true);
+      link->server.setSendBufferSize(kSendBuffer);
     } catch (const Poco::Exception&) {
-      ResetQuietly(link->client);
+      Reset(link->client);
       continue;
     }
     Link& started = *link;
@@ -106,6 +124,7 @@
       const int received =
           from.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
       if (received <= 0) {
+        if (!HasEndedInOrder(from)) throw Poco::IOException("reset");
         if (!link.is_silent) to.shutdownSend();
         return;
       }
@@ -115,8 +134,8 @@
       to.sendBytes(buffer.data(), received);
     }
   } catch (const Poco::Exception&) {
-    ResetQuietly(link.client);
-    ResetQuietly(link.server);
+    Reset(link.client);
+    Reset(link.server);
   }
 }
 
