--- a/lib/daemon/ownership_controller_topics.cc
+++ b/lib/daemon/ownership_controller_topics.cc
@@ -78,13 +78,12 @@
   relay.topic = static_cast<std::uint8_t>(update.topic);
   relay.from = update.from;
   relay.end = update.end;
-  // Relays of the desired state carry no records: it may be larger than a
-  // datagram, and it changes rarely.
-  // The entries that a whole read lacks are gone, and followers read it
-  // themselves.
+  // Followers do a whole read themselves. Entries that it lacks are gone.
   if (update.topic == Topic::kUpstreams && update.is_complete) {
     this->relayed_entries.clear();
   }
+  // Relays of the desired state carry no records: it may be larger than a
+  // datagram, and it changes rarely.
   if (update.topic == Topic::kUpstreams && !update.is_complete) {
     relay.records.emplace();
     for (const log_service::KeyedRecord& record : update.records) {
--- a/tools/fakes/platform_upstream/platform_upstream.cc
+++ b/tools/fakes/platform_upstream/platform_upstream.cc
@@ -246,6 +246,22 @@
   }
 }
 
+int PlatformUpstream::Admit(std::uint32_t key, const std::string& id,
+                            const HTTPServerRequest& request) {
+  const std::lock_guard lock(this->mutex);
+  if (this->settings.is_sharded && !this->HoldsLocked(key)) return 421;
+  if (this->busy >= this->settings.slots * 3) return 503;
+  ++this->busy;
+  this->running.emplace(key, id);
+  const std::int64_t length =
+      std::max<std::int64_t>(request.getContentLength64(), 0);
+  this->Write("{\"event\":\"run\",\"at\":" + Nanoseconds(steady_clock::now()) +
+              ",\"id\":\"" + id + "\",\"method\":\"" + request.getMethod() +
+              "\",\"key\":" + std::to_string(key) +
+              ",\"body\":" + std::to_string(length) + "}");
+  return 0;
+}
+
 bool PlatformUpstream::IsAnsweredEarly(const HTTPServerRequest& request,
                                        std::uint64_t number) const {
   const std::uint32_t every = this->settings.broken_off_answer_every;
@@ -277,27 +293,14 @@
                            HTTPServerResponse& response) {
   const std::uint64_t number = ++this->requests;
   const bool is_early = this->IsAnsweredEarly(request, number);
-  const std::int64_t length = request.getContentLength64();
   if (!is_early) ReadBody(request);
   const std::string id = request.get("X-Request-Id", "");
   const std::string key_text = request.get("X-Shard-Key", "0");
   const auto key = static_cast<std::uint32_t>(std::stoul(key_text));
   response.set("X-Request-Id", id);
   if (this->AskForTime(number, request, response)) return;
-  {
-    const std::lock_guard lock(this->mutex);
-    if (this->settings.is_sharded && !this->HoldsLocked(key)) {
-      return Refuse(request, response, 421);
-    }
-    if (this->busy >= this->settings.slots * 3)
-      return Refuse(request, response, 503);
-    ++this->busy;
-    this->running.emplace(key, id);
-    this->Write(
-        "{\"event\":\"run\",\"at\":" + Nanoseconds(steady_clock::now()) +
-        ",\"id\":\"" + id + "\",\"method\":\"" + request.getMethod() +
-        "\",\"key\":" + std::to_string(key) +
-        ",\"body\":" + std::to_string(std::max<std::int64_t>(length, 0)) + "}");
+  if (const int status = this->Admit(key, id, request)) {
+    return Refuse(request, response, status);
   }
   std::this_thread::sleep_for(this->settings.work);
   {
