tools: reset a link that is accepted while the fault is set

A link became known to SetFault after bytes had passed it, so a reset of all links could miss one: the soak then harmed fewer connections than it said.

--- a/tools/platform_soak/tcp_proxy.cc
+++ b/tools/platform_soak/tcp_proxy.cc
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <chrono>
+#include <utility>
 
 #include "common/small_windows.h"
 
@@ -94,18 +95,27 @@
       Reset(link->client);
       continue;
     }
-    Link& started = *link;
+    Link& started = this->AddLink(std::move(link));
     started.to_server = std::jthread([this, &started](const auto& token) {
       this->Pump(started, true, token);
     });
     started.to_client = std::jthread([this, &started](const auto& token) {
       this->Pump(started, false, token);
     });
-    const std::lock_guard lock(this->mutex);
-    this->links.push_back(std::move(link));
   }
 }
 
+TcpProxy::Link& TcpProxy::AddLink(std::unique_ptr<Link> link) {
+  const std::lock_guard lock(this->mutex);
+  Link& added = *this->links.emplace_back(std::move(link));
+  // A fault that was set since the connection was accepted has not found it.
+  if (this->fault == LinkFault::kReset) {
+    Reset(added.client);
+    Reset(added.server);
+  }
+  return added;
+}
+
 bool TcpProxy::Swallows(bool is_to_server) const {
   const LinkFault active = this->fault.load();
   return active == LinkFault::kSilent ||
--- a/tools/platform_soak/tcp_proxy.h
+++ b/tools/platform_soak/tcp_proxy.h
@@ -52,6 +52,8 @@
   };
 
   void Accept(const std::stop_token& stop);
+  /// Makes the link known to `SetFault`, before any bytes pass it.
+  Link& AddLink(std::unique_ptr<Link> link);
   void Pump(Link& link, bool is_to_server, const std::stop_token& stop);
   bool Swallows(bool is_to_server) const;
 
