tools: reset a link by a direct call

It takes each connect for the creation of a descriptor; the kernel allows this one, which only dissolves the connection. The call now goes past that interception.

--- a/tools/platform_soak/tcp_proxy.cc
+++ b/tools/platform_soak/tcp_proxy.cc
@@ -6,6 +6,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
+#include <unistd.h>
 
 #include <array>
 #include <chrono>
@@ -28,8 +30,11 @@
 void Reset(StreamSocket& socket) {
   sockaddr none{};
   none.sa_family = AF_UNSPEC;
-  // Fails if the connection is closed already.
-  static_cast<void>(::connect(socket.impl()->sockfd(), &none, sizeof(none)));
+  // Fails if the connection is closed already. A direct call, as the thread
+  // sanitizer takes `connect` for the creation of the descriptor and reports a
+  // race with the threads that wait on it.
+  static_cast<void>(
+      ::syscall(SYS_connect, socket.impl()->sockfd(), &none, sizeof(none)));
 }
 
 /// Whether the end of the data that `socket` returned is one in good order. The
