--- a/include/bamboorack/daemon/gateway_router.h
+++ b/include/bamboorack/daemon/gateway_router.h
@@ -55,6 +55,9 @@
   bool IsIdle() const { return this->requests.empty(); }
 
  private:
+  /// `Retry-After` of requests whose key has no owner.
+  static constexpr std::chrono::milliseconds kNoOwnerRetryAfter{500};
+
   /// Identifies a request within this daemon; never reused.
   using Handle = std::uint64_t;
 
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -24,7 +24,6 @@
 // A key in a planned move has an owner again when the requests that run on it
 // have ended. A request waits for that for this percentage of its time left.
 constexpr int kOwnerWaitPercent = 35;
-constexpr milliseconds kNoOwnerRetryAfter{500};
 // The keys of a lost upstream are granted again when its lease has expired.
 constexpr milliseconds kLostOwnerRetryAfter{900};
 constexpr milliseconds kNoStateRetryAfter{500};
@@ -349,78 +348,6 @@
   this->actions.emplace_back(std::move(dispatch));
 }
 
-void GatewayRouter::RemoveFromQueue(PendingRequest& pending) {
-  if (pending.stage == Stage::kQueued) {
-    this->queues[pending.queue_key].Remove(pending.handle);
-  }
-  if (pending.stage == Stage::kUnowned) this->unowned.erase(pending.handle);
-  pending.stage = Stage::kUnscheduled;
-}
-
-void GatewayRouter::DrainQueue(const QueueKey& key) {
-  const auto found = this->queues.find(key);
-  if (found == this->queues.end()) return;
-  upstream::WaitQueue& queue = found->second;
-  const bool has_left =
-      !key.upstream.IsEmpty() &&
-      !this->load_balancer.MayServeKeys(key.upstream, this->now);
-  if (has_left) {
-    this->RescheduleQueue(queue);
-    return;
-  }
-  while (!queue.IsEmpty()) {
-    const auto entry = queue.Pop(this->now);
-    if (!entry) return;
-    PendingRequest& pending = this->requests.at(entry->request);
-    const auto upstream = this->PickUpstream(pending, key);
-    if (!upstream) {
-      queue.PutBack(*entry);
-      return;
-    }
-    this->Send(pending, *upstream);
-  }
-}
-
-void GatewayRouter::RescheduleQueue(upstream::WaitQueue& queue) {
-  for (const upstream::QueueEntry& entry : queue.TakeAll()) {
-    PendingRequest& pending = this->requests.at(entry.request);
-    pending.stage = Stage::kUnscheduled;
-    this->ScheduleRequest(pending, false);
-  }
-}
-
-void GatewayRouter::DrainAllQueues() {
-  for (auto& [key, queue] : this->queues) {
-    if (!queue.IsEmpty()) this->DrainQueue(key);
-  }
-}
-
-void GatewayRouter::RescheduleWaiting() {
-  std::vector<Handle> waiting;
-  for (const auto& [handle, pending] : this->requests) {
-    const bool is_waiting =
-        pending.stage == Stage::kQueued || pending.stage == Stage::kUnowned;
-    if (is_waiting && pending.is_sharded) waiting.push_back(handle);
-  }
-  std::sort(waiting.begin(), waiting.end());
-  for (const Handle handle : waiting) {
-    PendingRequest& pending = this->requests.at(handle);
-    const bool was_unowned = pending.stage == Stage::kUnowned;
-    const MonotonicTime until = pending.owner_wait_deadline;
-    this->RemoveFromQueue(pending);
-    if (was_unowned) {
-      // The wait counts from the time at which the owner was first missing.
-      pending.stage = Stage::kUnowned;
-      pending.owner_wait_deadline = until;
-    }
-    this->ScheduleRequest(pending, false);
-    if (was_unowned && this->requests.contains(handle) &&
-        pending.stage != Stage::kUnowned) {
-      this->unowned.erase(handle);
-    }
-  }
-}
-
 void GatewayRouter::OnCallerGone(const caller::CallerGone& gone) {
   const auto found = this->handles_by_slot.find(gone.slot.value);
   if (found == this->handles_by_slot.end()) return;
@@ -494,36 +421,6 @@
   return this->TakeActions();
 }
 
-void GatewayRouter::RefuseExpired() {
-  std::vector<Handle> expired;
-  for (auto& [key, queue] : this->queues) {
-    for (const upstream::QueueEntry& entry : queue.RemoveExpired(this->now)) {
-      expired.push_back(entry.request);
-    }
-  }
-  for (const Handle handle : expired) {
-    PendingRequest& pending = this->requests.at(handle);
-    pending.stage = Stage::kUnscheduled;
-    this->Refuse(pending, Reason::kDeadlineWouldPass,
-                 "the time left is too short", kNoOwnerRetryAfter);
-  }
-  const std::vector<Handle> waiting(this->unowned.begin(), this->unowned.end());
-  for (const Handle handle : waiting) {
-    PendingRequest& pending = this->requests.at(handle);
-    if (this->now >= pending.owner_wait_deadline) {
-      this->Refuse(pending, Reason::kOwnerMoving,
-                   "nobody serves the key at the moment", kNoOwnerRetryAfter);
-      continue;
-    }
-    if (pending.attempts == 0 || this->now < pending.not_before) continue;
-    // The upstream may have learned by now that it owns the key: try again.
-    this->ScheduleRequest(pending, false);
-    if (this->requests.contains(handle) && pending.stage != Stage::kUnowned) {
-      this->unowned.erase(handle);
-    }
-  }
-}
-
 milliseconds GatewayRouter::LoadReportInterval() const {
   const auto alive =
       std::count_if(this->peer_reported_at.begin(),
@@ -577,10 +474,4 @@
                     : this->next_report;
 }
 
-std::size_t GatewayRouter::WaitingCount() const {
-  std::size_t waiting = this->unowned.size();
-  for (const auto& [key, queue] : this->queues) waiting += queue.Size();
-  return waiting;
-}
-
 }  // namespace bamboorack::daemon
