tools: record the bytes of a body that were read again

The stand-in of the platform's upstreams wrote the announced length of a body since, where it wrote the bytes that it had read before, so a body that was cut short looked whole in its record. Requests that it answers unread are recorded with 0 bytes. Comments and a name use the usual term, an orderly close.

--- a/tools/common/small_windows.h
+++ b/tools/common/small_windows.h
@@ -7,9 +7,9 @@
 
 namespace bamboorack::tools {
 
-/// Makes connections of `socket` as small as on a link between two machines, so
-/// that an upload does not fit into the buffers on the way and its sender waits
-/// for a peer that does not read. Call before it listens or connects.
+/// Limits the buffers of the connections of `socket` as on a link between two
+/// VMs: an upload does not fit into them, so its sender waits for a peer that
+/// does not read. Call before the socket listens or connects.
 inline void UseSmallWindows(Poco::Net::Socket& socket) {
   constexpr int kBufferBytes = 8'192;
   // The kernel sizes send buffers by this. On loopback it is 64 KiB otherwise.
--- a/tools/fakes/platform_upstream/platform_upstream.cc
+++ b/tools/fakes/platform_upstream/platform_upstream.cc
@@ -247,18 +247,16 @@
 }
 
 int PlatformUpstream::Admit(std::uint32_t key, const std::string& id,
-                            const HTTPServerRequest& request) {
+                            const std::string& method, std::size_t body_bytes) {
   const std::lock_guard lock(this->mutex);
   if (this->settings.is_sharded && !this->HoldsLocked(key)) return 421;
   if (this->busy >= this->settings.slots * 3) return 503;
   ++this->busy;
   this->running.emplace(key, id);
-  const std::int64_t length =
-      std::max<std::int64_t>(request.getContentLength64(), 0);
   this->Write("{\"event\":\"run\",\"at\":" + Nanoseconds(steady_clock::now()) +
-              ",\"id\":\"" + id + "\",\"method\":\"" + request.getMethod() +
+              ",\"id\":\"" + id + "\",\"method\":\"" + method +
               "\",\"key\":" + std::to_string(key) +
-              ",\"body\":" + std::to_string(length) + "}");
+              ",\"body\":" + std::to_string(body_bytes) + "}");
   return 0;
 }
 
@@ -293,13 +291,14 @@
                            HTTPServerResponse& response) {
   const std::uint64_t number = ++this->requests;
   const bool is_early = this->IsAnsweredEarly(request, number);
-  if (!is_early) ReadBody(request);
+  const std::size_t body_bytes = is_early ? 0 : ReadBody(request).size();
   const std::string id = request.get("X-Request-Id", "");
   const std::string key_text = request.get("X-Shard-Key", "0");
   const auto key = static_cast<std::uint32_t>(std::stoul(key_text));
   response.set("X-Request-Id", id);
   if (this->AskForTime(number, request, response)) return;
-  if (const int status = this->Admit(key, id, request)) {
+  if (const int status =
+          this->Admit(key, id, request.getMethod(), body_bytes)) {
     return Refuse(request, response, status);
   }
   std::this_thread::sleep_for(this->settings.work);
--- a/tools/fakes/platform_upstream/platform_upstream.h
+++ b/tools/fakes/platform_upstream/platform_upstream.h
@@ -88,10 +88,10 @@
   void SendAgain(Poco::Net::HTTPServerRequest& request,
                  const Poco::Net::HTTPServerResponse& response,
                  const std::string& body);
-  /// Begins to run a request. Returns 0, or the status with which it is turned
-  /// away.
-  int Admit(std::uint32_t key, const std::string& id,
-            const Poco::Net::HTTPServerRequest& request);
+  /// Begins to run a request of which `body_bytes` of the body were read.
+  /// Returns 0, or the status with which it is turned away.
+  int Admit(std::uint32_t key, const std::string& id, const std::string& method,
+            std::size_t body_bytes);
   /// Whether the request is an upload that is answered before it is read.
   bool IsAnsweredEarly(const Poco::Net::HTTPServerRequest& request,
                        std::uint64_t number) const;
--- a/tools/platform_soak/tcp_proxy.cc
+++ b/tools/platform_soak/tcp_proxy.cc
@@ -37,9 +37,9 @@
       ::syscall(SYS_connect, socket.impl()->sockfd(), &none, sizeof(none)));
 }
 
-/// Whether the end of the data that `socket` returned is one in good order. The
+/// Returns whether a read of 0 bytes from `socket` was an orderly close. The
 /// error of a reset is reported once, maybe to the other thread.
-bool HasEndedInOrder(const StreamSocket& socket) {
+bool IsOrderlyClose(const StreamSocket& socket) {
   tcp_info info{};
   socklen_t size = sizeof(info);
   const int status = ::getsockopt(socket.impl()->sockfd(), IPPROTO_TCP,
@@ -139,7 +139,7 @@
       const int received =
           from.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
       if (received <= 0) {
-        if (!HasEndedInOrder(from)) throw Poco::IOException("reset");
+        if (!IsOrderlyClose(from)) throw Poco::IOException("reset");
         if (!link.is_silent) to.shutdownSend();
         return;
       }
