--- a/include/bamboorack/core/http_body.h
+++ b/include/bamboorack/core/http_body.h
@@ -48,7 +48,7 @@
   /// Takes the bytes of the body from the front of `input` and leaves those
   /// that follow the body.
   Status Feed(std::string& input);
-  /// Tells that the peer closed its sending direction in good order.
+  /// Tells that the peer ended its data with an orderly close.
   Status FeedEnd();
   /// Returns the whole body. Valid once after `kComplete`.
   std::string Take() { return std::move(this->body); }
--- a/include/bamboorack/core/http_connection.h
+++ b/include/bamboorack/core/http_connection.h
@@ -56,8 +56,8 @@
 
   /// Reads what has arrived, up to a few reads so that one peer cannot hold
   /// the thread, and until the input holds `max_input` bytes. `kClosed` means
-  /// that the peer ended its data itself: after any failure of this connection
-  /// the end of the data is `kFailed`, as bytes before it may be missing.
+  /// an orderly close by the peer. After any failure of this connection the end
+  /// of the data is `kFailed`, as bytes before it may be missing.
   IoStatus Read(std::size_t max_input);
   /// Reads and discards what has arrived.
   IoStatus ReadAndDiscard();
@@ -76,8 +76,8 @@
   std::uint64_t BytesWritten() const { return this->bytes_written; }
   /// Bytes that were read since the connection was opened.
   std::uint64_t BytesRead() const { return this->bytes_read; }
-  /// Returns whether the connection that was opened without blocking is there.
-  /// Call when the socket is writable.
+  /// Returns whether a non-blocking connect has succeeded. Call when the socket
+  /// is writable.
   bool IsConnected();
 
   /// Makes the end of this connection a reset: what was sent and not received
@@ -102,8 +102,7 @@
   std::uint64_t bytes_written = 0;
   std::uint64_t bytes_read = 0;
   /// The kernel reports an error of the socket once, to whatever call comes
-  /// first. A read after that returns the end of the data, as after a close in
-  /// good order.
+  /// first. A read after that returns 0 bytes, as after an orderly close.
   bool has_failed = false;
 };
 
--- a/unittests/core/http_client_test.cc
+++ b/unittests/core/http_client_test.cc
@@ -182,7 +182,7 @@
 }
 
 // The client writes its call while it reads. A failed write takes the error of
-// the socket, and the next read reports an end in good order.
+// the socket, and the next read looks like an orderly close.
 SCENARIO("an answer that is reset midway is taken for a whole one") {
   Fixture fixture;
   auto call = fixture.Call(TestDeadline(), std::string(16'000'000, 'r'));
@@ -194,7 +194,7 @@
       peer.Reset();
       THEN("the call fails, and may have run") { ExpectFailure(call); }
     }
-    WHEN("it sends the rest and closes its direction") {
+    WHEN("it sends the rest and closes its sending direction") {
       peer.Send("second half");
       peer.CloseSend();
       THEN("the answer is whole") {
--- a/unittests/core/http_connection_test.cc
+++ b/unittests/core/http_connection_test.cc
@@ -126,7 +126,7 @@
 }
 
 // The kernel reports the error of a socket once. Whoever takes it leaves the
-// next read an end of the data that looks like a close in good order.
+// next read 0 bytes, as after an orderly close.
 SCENARIO("a reset passes for the end of the data") {
   SocketPair pair;
   PollReactor reactor;
@@ -169,10 +169,10 @@
         CHECK(connection.Read(100) == HttpConnection::IoStatus::kFailed);
       }
     }
-    WHEN("it sends the rest and closes its direction") {
+    WHEN("it sends the rest and closes its sending direction") {
       pair.client.sendBytes("rest", 4);
       pair.client.shutdownSend();
-      THEN("the data ends in good order") {
+      THEN("the data ends with an orderly close") {
         const MonotonicTime end = TestDeadline();
         auto status = HttpConnection::IoStatus::kOk;
         while (status == HttpConnection::IoStatus::kOk) {
--- a/unittests/core/upstream_registry_test.cc
+++ b/unittests/core/upstream_registry_test.cc
@@ -75,8 +75,8 @@
   }
 
   SECTION("a read that fails on a slow link does not keep a removed entry") {
-    // notus-diary-gw-grown, scale-1, seed 197623192823: removed upstreams got
-    // requests for 2.5 s, since each failed read counted as an outage.
+    // Guards against removed upstreams that get requests for another 2.5 s,
+    // since each failed read counts as an outage.
     registry.NoteContact(now);
     now += milliseconds(2'400);
     registry.NoteContact(now);
--- a/unittests/daemon/gateway_router_test.cc
+++ b/unittests/daemon/gateway_router_test.cc
@@ -238,20 +238,21 @@
   }
 }
 
-// Requests that were queued while the upstream still got some.
-SCENARIO("a queued request is sent to an upstream that left long ago") {
+// The request is queued within the grace period of the upstream, and its turn
+// comes after it.
+SCENARIO("a queued request is sent to a draining upstream after its grace") {
   GatewayRouterFixture fixture;
   fixture.Publish();
   fixture.upstreams[0].is_draining = true;
   fixture.Publish();
-  GIVEN("more requests than it takes, late in the time that it has") {
+  GIVEN("more requests than it takes, near the end of its grace period") {
     fixture.AdvanceTime(milliseconds(850));
     std::uint64_t slot = 0;
     while (fixture.dispatches.size() == slot) {
       fixture.Send(++slot, "/read/a", "5");
     }
     const std::size_t sent = fixture.dispatches.size();
-    WHEN("it answers after that time") {
+    WHEN("it answers after the grace period") {
       fixture.AdvanceTime(milliseconds(60));
       fixture.CompleteDispatch(fixture.dispatches[0],
                                GatewayRouterFixture::Ok());
--- a/unittests/log_service/topic_follower_thread_test.cc
+++ b/unittests/log_service/topic_follower_thread_test.cc
@@ -73,8 +73,8 @@
       relay.has_records = true;
       REQUIRE(relays.TryPush(std::move(relay)));
       THEN("the follower tells that the log answered") {
-        // notus-diary-gw-grown, scale-2, seed 927232023572: without it ten
-        // quiet seconds were taken for an outage, and DRAIN was broken.
+        // Without it ten seconds without changes counted as an outage, and a
+        // removed upstream went on getting requests.
         const auto update = updates.PopUntil(steady_clock::now() + seconds(5));
         REQUIRE(update.has_value());
         CHECK(update->is_relayed);
--- a/unittests/platform_soak/tcp_proxy_test.cc
+++ b/unittests/platform_soak/tcp_proxy_test.cc
@@ -14,7 +14,7 @@
 
 // A soak whose proxy turns resets into closes finds no fault that takes one for
 // the other.
-SCENARIO("a reset passes the proxy as a close in good order") {
+SCENARIO("the proxy turns a reset into an orderly close") {
   Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
   TcpProxy proxy;
   proxy.SetTarget(listener.address().port());
@@ -27,9 +27,9 @@
       server.Reset();
       THEN("the client sees a reset") { CHECK(client.IsResetByPeer()); }
     }
-    WHEN("the server closes its direction") {
+    WHEN("the server closes its sending direction") {
       server.CloseSend();
-      THEN("the client sees a close in good order") {
+      THEN("the client sees an orderly close") {
         CHECK_FALSE(client.IsResetByPeer());
       }
     }
--- a/unittests/support/raw_peer.h
+++ b/unittests/support/raw_peer.h
@@ -127,7 +127,7 @@
     return unacknowledged == 0;
   }
 
-  /// Closes the sending direction in good order.
+  /// Closes the sending direction; the peer reads an orderly close.
   void CloseSend() { this->socket.shutdownSend(); }
 
   /// Closes the connection with a reset.
--- a/unittests/upstream/broken_off_answer_test.cc
+++ b/unittests/upstream/broken_off_answer_test.cc
@@ -71,7 +71,7 @@
     CHECK(result.result.error().reason == Reason::kUpstreamLost);
   }
 
-  /// Returns once the thread has read what was sent: it reads without delay.
+  /// Gives the thread time to read what was sent.
   void AwaitRead() const { std::this_thread::sleep_for(milliseconds(50)); }
 
   Fixture fixture;
@@ -96,8 +96,8 @@
   if (framing.ends_with_connection) upstream.CloseSend();
 }
 
-// A failing write takes the error of the socket, and the next read reports an
-// end in good order.
+// A failing write takes the error of the socket, and the next read looks like
+// an orderly close.
 SCENARIO("an answer that is reset midway passes for a whole one") {
   for (const Framing& framing : kFramings) {
     GIVEN(std::string("a half of an answer ") + framing.title) {
--- a/unittests/upstream/range_lease_manager_test.cc
+++ b/unittests/upstream/range_lease_manager_test.cc
@@ -260,9 +260,8 @@
     }
 
     WHEN("an unanswered grant is delayed in the send queue of the leader") {
-      // Guards against a transit time that is assumed too short: in
-      // notus-diary-gw-grown, scale-1, seed 197623192823, a grant arrived 0.46
-      // s after it was sent, from a VM with a link of 11 Mbit/s.
+      // Guards against a transit time that is assumed too short: a grant from
+      // a VM with a link of 11 Mbit/s arrived 0.46 s after it was sent.
       world.Run(seconds(1));
       world.silent_upstreams[UpstreamId("a")] = true;
       ControlCall last;
