core: refuse heads whose header names are no tokens

Callers got answers whose head has a header with a control character in its name: the line was passed on, or, where the name was a broken Content-Length or Transfer-Encoding, the body ended with the connection instead, so that a part of it or the bytes of the chunks were delivered as the whole answer of the upstream.

Cause: the check before POCO's parser refused only blanks and tabs in names, and the parser takes every byte up to the colon.

Change: a name must be a token of RFC 9110.

--- a/include/bamboorack/core/http_text.h
+++ b/include/bamboorack/core/http_text.h
@@ -34,6 +34,10 @@
 /// has another character or does not fit.
 std::optional<std::uint64_t> ParseDecimal(std::string_view text);
 
+/// Returns whether `text` may be the name of a header: not empty, and without
+/// blanks, control characters, delimiters and bytes outside ASCII (RFC 9110).
+bool IsToken(std::string_view text);
+
 /// Compares header names without regard to ASCII case.
 bool IsSameHeaderName(std::string_view first, std::string_view second);
 
--- a/lib/core/http_connection.cc
+++ b/lib/core/http_connection.cc
@@ -29,9 +29,9 @@
   Body body;
 };
 
-// POCO takes a lone line feed for a line end and skips lines without a colon.
-// A peer that counts lines differently could see another message than this
-// process, so such heads are refused.
+// POCO takes a lone line feed for a line end, skips lines without a colon and
+// takes any bytes for a name. A peer that reads them differently could see
+// another message than this process, so such heads are refused.
 std::optional<std::string> FindFramingFault(std::string_view head) {
   std::size_t begin = 0;
   bool is_start_line = true;
@@ -47,9 +47,8 @@
     if (line.empty()) break;
     const std::size_t colon = line.find(':');
     const bool has_name =
-        colon != std::string_view::npos && colon > 0 &&
-        line.substr(0, colon).find_first_of(" \t") == std::string_view::npos;
-    if (!is_start_line && !has_name) return "header line without a name";
+        colon != std::string_view::npos && IsToken(line.substr(0, colon));
+    if (!is_start_line && !has_name) return "header line without a valid name";
     is_start_line = false;
   }
   if (is_start_line || begin != head.size()) return "head without start line";
--- a/lib/core/http_text.cc
+++ b/lib/core/http_text.cc
@@ -21,10 +21,20 @@
                                         : letter;
 }
 
-constexpr bool IsUnreserved(char letter) {
+constexpr bool IsAlphanumeric(char letter) {
   const char lower = ToLower(letter);
-  return (lower >= 'a' && lower <= 'z') || (letter >= '0' && letter <= '9') ||
-         letter == '-' || letter == '.' || letter == '_' || letter == '~';
+  return (lower >= 'a' && lower <= 'z') || (letter >= '0' && letter <= '9');
+}
+
+constexpr bool IsUnreserved(char letter) {
+  return IsAlphanumeric(letter) || letter == '-' || letter == '.' ||
+         letter == '_' || letter == '~';
+}
+
+constexpr bool IsTokenLetter(char letter) {
+  constexpr std::string_view kOthers = "!#$%&'*+-.^_`|~";
+  return IsAlphanumeric(letter) ||
+         kOthers.find(letter) != std::string_view::npos;
 }
 
 std::optional<unsigned char> ParseHexByte(std::string_view digits) {
@@ -72,6 +82,10 @@
   return number;
 }
 
+bool IsToken(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), IsTokenLetter);
+}
+
 bool IsSameHeaderName(std::string_view first, std::string_view second) {
   return std::equal(first.begin(), first.end(), second.begin(), second.end(),
                     [](char a, char b) { return ToLower(a) == ToLower(b); });
