core: refuse answers of the store whose status is none of HTTP

The client of the store, the VM list and the operators' tools took an answer with the status 000, or any other below 200, for an interim one: it skipped the head and read the body as the answer. A body that looks like an answer became the answer to the call. A status above 599 was passed to the caller of the client.

Cause: only the codec of upstreams checked the status; HttpClient used POCO's number, which also takes signs. The reactor for upstreams refused these statuses already (broken_head_test.cc).

Evidence: in the new scenario of http_client_test.cc all 7 statuses (000, 099, 600, 999, +20, -10, 20) ended with the body as the answer, or as a success, before the change, and all fail now.

Change: the status is read in one place, ParseResponseHead, which both readers use and which has no head without a status of 100 to 599. The parsing of heads moves from http_connection to http_head.

--- a/include/bamboorack/caller/caller_codec.h
+++ b/include/bamboorack/caller/caller_codec.h
@@ -5,7 +5,7 @@
 
 #include "bamboorack/caller/caller_protocol.h"
 #include "bamboorack/caller/request_check.h"
-#include "bamboorack/core/http_connection.h"
+#include "bamboorack/core/http_text.h"
 #include "bamboorack/core/request.h"
 
 namespace bamboorack::caller {
--- a/include/bamboorack/core/http_connection.h
+++ b/include/bamboorack/core/http_connection.h
@@ -1,41 +1,18 @@
 #ifndef BAMBOORACK_CORE_HTTP_CONNECTION_H_
 #define BAMBOORACK_CORE_HTTP_CONNECTION_H_
 
-#include <Poco/Net/HTTPMessage.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/StreamSocket.h>
 
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <optional>
 #include <string>
-#include <string_view>
-#include <tl/expected.hpp>
-#include <vector>
 
 #include "bamboorack/core/http_text.h"
 #include "bamboorack/core/request.h"
 
 namespace bamboorack {
 
-/// Returns the length of the message head at the start of `input`, with its
-/// blank line, or nothing if the head is not complete.
-std::optional<std::size_t> FindHeadEnd(std::string_view input);
-
-/// Parses a request head that ends with its blank line. The error says what is
-/// wrong.
-tl::expected<Poco::Net::HTTPRequest, std::string> ParseRequestHead(
-    std::string_view head);
-
-/// The same for the head of a response.
-tl::expected<Poco::Net::HTTPResponse, std::string> ParseResponseHead(
-    std::string_view head);
-
-/// Returns all headers of `message` in the order in which they were sent.
-std::vector<Header> HeadersOf(const Poco::Net::HTTPMessage& message);
-
 /// A non-blocking connection with a buffer for each direction.
 class HttpConnection {
  public:
--- a/lib/caller/caller_codec.cc
+++ b/lib/caller/caller_codec.cc
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <utility>
 
+#include "bamboorack/core/http_head.h"
 #include "bamboorack/core/http_text.h"
 
 namespace bamboorack::caller {
--- a/lib/caller/caller_reactor_phases.cc
+++ b/lib/caller/caller_reactor_phases.cc
@@ -6,6 +6,7 @@
 
 #include "bamboorack/caller/caller_codec.h"
 #include "bamboorack/caller/caller_reactor.h"
+#include "bamboorack/core/http_head.h"
 
 // The phases of a connection: reading requests and closing.
 
--- a/lib/core/http_client.cc
+++ b/lib/core/http_client.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "bamboorack/core/http_body.h"
+#include "bamboorack/core/http_head.h"
 #include "bamboorack/core/http_text.h"
 
 namespace bamboorack {
@@ -105,7 +106,7 @@
         ParseResponseHead(std::string_view(input).substr(0, *length));
     if (!head) throw Poco::DataFormatException(head.error());
     input.erase(0, *length);
-    this->status_code = head->getStatus();
+    this->status_code = head->status;
     if (this->status_code < 200) {
       if (++this->interim_answers > kMaxInterimAnswers) {
         throw Poco::DataFormatException("too many interim answers");
@@ -116,16 +117,13 @@
     return true;
   }
 
-  void TakeFraming(const Poco::Net::HTTPResponse& head) {
+  void TakeFraming(const ResponseHead& head) {
     this->has_head = true;
-    this->keeps_connection = head.getKeepAlive();
-    const bool has_no_body =
-        this->status_code == Poco::Net::HTTPResponse::HTTP_NO_CONTENT ||
-        this->status_code == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
+    this->keeps_connection = head.keep_alive;
     BodyFrame frame;
-    if (!has_no_body) {
+    if (!HasNoBody(head.status)) {
       const auto announced =
-          FrameOf(HeadersOf(head), {BodyFraming::kUntilClose, 0});
+          FrameOf(head.headers, {BodyFraming::kUntilClose, 0});
       if (!announced) throw Poco::DataFormatException(announced.error());
       frame = *announced;
     }
--- a/lib/upstream/upstream_codec.cc
+++ b/lib/upstream/upstream_codec.cc
@@ -4,7 +4,6 @@
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/Net/HTTPResponse.h>
 
 #include <algorithm>
 #include <array>
@@ -15,7 +14,7 @@
 #include <utility>
 #include <variant>
 
-#include "bamboorack/core/http_connection.h"
+#include "bamboorack/core/http_head.h"
 #include "bamboorack/core/http_text.h"
 #include "bamboorack/upstream/upstream_protocol.h"
 
@@ -284,32 +283,14 @@
   return {std::move(head), std::make_shared<const std::string>(text.str())};
 }
 
-// POCO stores the status in an enumeration without values above 511, so its
-// `getStatus` must not be called for larger ones.
-std::optional<int> ParseStatus(std::string_view head) {
-  constexpr std::string_view kVersion = "HTTP/1.1 ";
-  if (head.size() < kVersion.size() + 4) return std::nullopt;
-  const auto status = ParseDecimal(head.substr(kVersion.size(), 3));
-  const char end = head[kVersion.size() + 3];
-  const bool is_delimited = end == ' ' || end == '\r';
-  if (!status || !is_delimited || *status < 100 || *status > 599) {
-    return std::nullopt;
-  }
-  return static_cast<int>(*status);
-}
-
 /// Parses all of the head except the framing of the body.
 tl::expected<AnswerHead, std::string> ParseAnswerHead(std::string_view head) {
-  const auto parsed = ParseResponseHead(head);
-  if (!parsed) return tl::make_unexpected(parsed.error());
+  auto parsed = ParseResponseHead(head);
+  if (!parsed) return tl::make_unexpected(std::move(parsed.error()));
   AnswerHead answer;
-  answer.headers = HeadersOf(*parsed);
-  answer.keep_alive = parsed->getKeepAlive();
-  const auto status = ParseStatus(head);
-  if (!status) {
-    return tl::make_unexpected(std::string("status is not in 100 to 599"));
-  }
-  answer.status = *status;
+  answer.status = parsed->status;
+  answer.headers = std::move(parsed->headers);
+  answer.keep_alive = parsed->keep_alive;
   return answer;
 }
 
--- a/lib/upstream/upstream_reactor_answers.cc
+++ b/lib/upstream/upstream_reactor_answers.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "bamboorack/core/http_head.h"
 #include "bamboorack/upstream/upstream_reactor.h"
 
 // The reading of answers, and the memory that they may take up.
--- a/unittests/core/http_client_test.cc
+++ b/unittests/core/http_client_test.cc
@@ -221,6 +221,22 @@
   CHECK(reply->body == body);
 }
 
+// Taken for an interim answer, it would be skipped with its head, and its body
+// read as the answer.
+SCENARIO("the body of an answer without a valid status becomes the answer") {
+  Fixture fixture;
+  auto call = fixture.Call(TestDeadline());
+  RawPeer peer = fixture.Accept();
+  const std::string body = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake";
+  for (const char* status : {"000", "099", "600", "999", "+20", "-10", "20"}) {
+    WHEN(std::string("the status is ") + status) {
+      peer.Send(std::string("HTTP/1.1 ") + status + " OK\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n" + body);
+      THEN("the call fails, possibly run") { ExpectFailure(call); }
+    }
+  }
+}
+
 SCENARIO("bytes that belong to no call become the answer to the next one") {
   Fixture fixture;
   const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
