core: refuse heads with control characters

An answer whose status line or header values have control characters was passed on as it came.

Cause: the check of heads looked only for NUL, carriage return and line feed. Found on a path related to the broken header names.

Evidence: in broken_head_test.cc answers with \x01 or \x7f in a value and \x1b in the reason phrase were delivered, and http_head_test.cc took four such request heads and a target with a tab; all are refused now. Tabs and bytes outside ASCII in values stay allowed.

Change: a line of a head has no control character but tabs (RFC 9110, 5.5), and a target no tab. Unit tests of all packages pass.

--- a/lib/core/http_head.cc
+++ b/lib/core/http_head.cc
@@ -23,9 +23,12 @@
 constexpr std::string_view kHttp10 = "HTTP/1.0";
 constexpr std::string_view kHttp11 = "HTTP/1.1";
 
-bool HasForbidden(std::string_view text) {
+/// Whether `text` has a control character other than a tab. Readers differ in
+/// whether they take one for a blank, for a line end or for a part of a value.
+bool HasControl(std::string_view text) {
   return std::any_of(text.begin(), text.end(), [](char letter) {
-    return letter == '\0' || letter == '\r' || letter == '\n';
+    const auto byte = static_cast<unsigned char>(letter);
+    return (byte < ' ' && letter != '\t') || letter == '\x7f';
   });
 }
 
@@ -48,7 +51,7 @@
   }
   const std::string_view line = rest.substr(0, end);
   rest.remove_prefix(end + kLineEnd.size());
-  if (HasForbidden(line)) {
+  if (HasControl(line)) {
     return tl::make_unexpected("control character in the head");
   }
   return line;
@@ -154,7 +157,9 @@
   if (!IsToken(method) || method.size() > kMaxMethod) {
     return tl::make_unexpected("invalid method");
   }
-  if (target.empty()) return tl::make_unexpected("no request target");
+  if (target.empty() || target.find('\t') != std::string_view::npos) {
+    return tl::make_unexpected("invalid request target");
+  }
   if (!IsVersion(version)) {
     return tl::make_unexpected("unsupported version " + std::string(version));
   }
--- a/unittests/core/http_head_test.cc
+++ b/unittests/core/http_head_test.cc
@@ -31,6 +31,12 @@
       {"folded line", start + "A: b\r\n c: d\r\n\r\n", false},
       {"value that is too long",
        start + "A: " + std::string(9'000, 'a') + "\r\n\r\n", false},
+      {"control character in a value", start + "A: b\x01\r\n\r\n", false},
+      {"vertical tab before a value", start + "A: \vb\r\n\r\n", false},
+      {"delete character in a value", start + "A: \x7f\r\n\r\n", false},
+      {"control character in the target", "GET /\x02 HTTP/1.1\r\n\r\n", false},
+      {"tab and bytes outside ASCII in a value",
+       start + "A: b\t\xc3\xa9\r\n\r\n", true},
       {"NUL", start + std::string("A: \0\r\n\r\n", 9), false},
       {"no start line", "\r\n\r\n", false},
       {"other version", "GET / HTTP/2.0\r\n\r\n", false},
@@ -76,7 +82,8 @@
     for (const char* line :
          {" GET / HTTP/1.1", "GET  / HTTP/1.1", "GET /  HTTP/1.1",
           "GET /\tHTTP/1.1", "GET / x HTTP/1.1", "GET / HTTP/1.1 ",
-          "G(T / HTTP/1.1", "GET / http/1.1", "GET  HTTP/1.1"}) {
+          "GET /\tx HTTP/1.1", "G(T / HTTP/1.1", "GET / http/1.1",
+          "GET  HTTP/1.1"}) {
       CAPTURE(line);
       CHECK_FALSE(ParseRequestHead(line + rest).has_value());
     }
--- a/unittests/upstream/broken_head_test.cc
+++ b/unittests/upstream/broken_head_test.cc
@@ -108,6 +108,37 @@
   }
 }
 
+// What one reader takes for a blank or a line end, another may take for a part
+// of the value.
+SCENARIO("an answer with control characters in its head is delivered") {
+  const std::string id = "X-Request-Id: r1\r\n";
+  const std::array answers = {
+      BrokenAnswer{"a control character in a value",
+                   WithLine("X-Trace: a\x01z")},
+      BrokenAnswer{"a delete character in a value", WithLine("X-Trace: \x7f")},
+      BrokenAnswer{"a vertical tab before a length",
+                   std::string(kStart) + "Content-Length: \v4\r\n\r\nbody"},
+      BrokenAnswer{"a form feed behind a coding",
+                   std::string(kStart) + "Transfer-Encoding: chunked\f\r\n\r\n"
+                                         "4\r\nbody\r\n0\r\n\r\n"},
+      BrokenAnswer{
+          "a vertical tab before the status",
+          "HTTP/1.1\v200 OK\r\n" + id + std::string(kLength) + "\r\nbody"},
+      BrokenAnswer{
+          "a tab before the status",
+          "HTTP/1.1\t200 OK\r\n" + id + std::string(kLength) + "\r\nbody"},
+      BrokenAnswer{
+          "a control character in the reason",
+          "HTTP/1.1 200 O\x1bK\r\n" + id + std::string(kLength) + "\r\nbody"}};
+  for (const BrokenAnswer& answer : answers) {
+    WHEN(std::string("the upstream answers with ") + answer.title) {
+      THEN("the request ends without an answer, possibly run") {
+        BrokenHeadFixture().Answer(answer);
+      }
+    }
+  }
+}
+
 // POCO decodes RFC 2047 words when it reads a head, line ends among them.
 SCENARIO("a header value of an answer becomes further header lines") {
   const std::string value = "=?utf-8?q?a=0D=0AContent-Length:=209?=";
