core: refuse chunked bodies whose trailers are no headers

A chunked answer whose chunk sizes are wrong could be delivered in part: when a line of the body reads as the last chunk, the rest up to a blank line was taken for trailers and dropped. Trailers and chunk extensions with control characters were accepted as well.

Cause: a trailer was any line, and an extension any bytes behind the size. Found while looking for broken names wherever answers are read; trailers are header lines too.

Evidence: in broken_head_test.cc three such answers were delivered as whole ones, and http_body_test.cc took 9 such bodies; all are malformed now, and the answers end as failed, possibly run.

Change: a trailer must be a header line by the parser of heads, and the line of a chunk size has no control characters. The same reader serves answers of upstreams and of the store, and bodies of callers.

--- a/include/bamboorack/core/http_head.h
+++ b/include/bamboorack/core/http_head.h
@@ -37,9 +37,13 @@
 /// blank line, or nothing if the head is not complete.
 std::optional<std::size_t> FindHeadEnd(std::string_view input);
 
-/// Parses a request head that ends with its blank line. Values are taken as
-/// they were sent, without the blanks around them. A head that two readers
-/// could take for different messages is an error, which says what is wrong.
+/// Parses one header line, without its end. The value is taken as it was sent,
+/// without the blanks around it. The error says what is wrong.
+tl::expected<Header, std::string> ParseHeaderLine(std::string_view line);
+
+/// Parses a request head that ends with its blank line. A head that two
+/// readers could take for different messages is an error, which says what is
+/// wrong.
 tl::expected<RequestHead, std::string> ParseRequestHead(std::string_view head);
 
 /// The same for the head of an answer.
--- a/include/bamboorack/core/http_text.h
+++ b/include/bamboorack/core/http_text.h
@@ -38,6 +38,11 @@
 /// blanks, control characters, delimiters and bytes outside ASCII (RFC 9110).
 bool IsToken(std::string_view text);
 
+/// Returns whether `text` has a control character other than a tab. Readers
+/// differ in whether they take one for a blank, for a line end or for a part of
+/// a value.
+bool HasControl(std::string_view text);
+
 /// Compares header names without regard to ASCII case.
 bool IsSameHeaderName(std::string_view first, std::string_view second);
 
--- a/lib/core/http_body.cc
+++ b/lib/core/http_body.cc
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <system_error>
 
+#include "bamboorack/core/http_head.h"
 #include "bamboorack/core/http_text.h"
 
 namespace bamboorack {
@@ -182,9 +183,9 @@
                                               : Status::kIncomplete;
   }
   const std::size_t length = end - position;
-  const auto size =
-      ParseChunkSize(std::string_view(input).substr(position, length));
-  if (!size) return Status::kMalformed;
+  const auto line = std::string_view(input).substr(position, length);
+  const auto size = ParseChunkSize(line);
+  if (!size || HasControl(line)) return Status::kMalformed;
   this->ignored += length - std::min(length, kSizeDigits);
   if (this->ignored > kMaxIgnored) return Status::kMalformed;
   if (*size > this->max_body - this->body.size()) return Status::kTooLarge;
@@ -212,6 +213,9 @@
                                               : Status::kIncomplete;
   }
   const bool is_last = end == position;
+  const auto line = std::string_view(input).substr(position, end - position);
+  // Anything else is a part of a body whose chunk sizes are wrong.
+  if (!is_last && !ParseHeaderLine(line)) return Status::kMalformed;
   this->ignored += end - position;
   if (this->ignored > kMaxIgnored) return Status::kMalformed;
   position = end + kLineEnd.size();
--- a/lib/core/http_head.cc
+++ b/lib/core/http_head.cc
@@ -23,15 +23,6 @@
 constexpr std::string_view kHttp10 = "HTTP/1.0";
 constexpr std::string_view kHttp11 = "HTTP/1.1";
 
-/// Whether `text` has a control character other than a tab. Readers differ in
-/// whether they take one for a blank, for a line end or for a part of a value.
-bool HasControl(std::string_view text) {
-  return std::any_of(text.begin(), text.end(), [](char letter) {
-    const auto byte = static_cast<unsigned char>(letter);
-    return (byte < ' ' && letter != '\t') || letter == '\x7f';
-  });
-}
-
 bool IsVersion(std::string_view text) {
   return text == kHttp10 || text == kHttp11;
 }
@@ -44,16 +35,11 @@
 }
 
 /// Takes the next line from the front of `rest`, without its end.
-tl::expected<std::string_view, std::string> TakeLine(std::string_view& rest) {
+std::optional<std::string_view> TakeLine(std::string_view& rest) {
   const std::size_t end = rest.find(kLineEnd);
-  if (end == std::string_view::npos) {
-    return tl::make_unexpected("line without end");
-  }
+  if (end == std::string_view::npos) return std::nullopt;
   const std::string_view line = rest.substr(0, end);
   rest.remove_prefix(end + kLineEnd.size());
-  if (HasControl(line)) {
-    return tl::make_unexpected("control character in the head");
-  }
   return line;
 }
 
@@ -65,20 +51,6 @@
   return word;
 }
 
-tl::expected<Header, std::string> ParseHeaderLine(std::string_view line) {
-  const std::size_t colon = line.find(':');
-  const bool has_name =
-      colon != std::string_view::npos && IsToken(line.substr(0, colon));
-  if (!has_name) {
-    return tl::make_unexpected("header line without a name");
-  }
-  const std::string_view value = TrimBlanks(line.substr(colon + 1));
-  if (colon > kMaxName || value.size() > kMaxValue) {
-    return tl::make_unexpected("header is too long");
-  }
-  return Header{std::string(line.substr(0, colon)), std::string(value)};
-}
-
 /// A head whose start line is still to be parsed.
 struct SplitHead {
   std::string_view start_line;
@@ -88,13 +60,14 @@
 tl::expected<SplitHead, std::string> Split(std::string_view head) {
   SplitHead split;
   auto line = TakeLine(head);
-  if (!line) return tl::make_unexpected(std::move(line.error()));
-  if (line->empty()) return tl::make_unexpected("head without start line");
+  if (!line || line->empty()) {
+    return tl::make_unexpected("head without start line");
+  }
+  if (HasControl(*line)) {
+    return tl::make_unexpected("control character in the head");
+  }
   split.start_line = *line;
-  while (true) {
-    line = TakeLine(head);
-    if (!line) return tl::make_unexpected(std::move(line.error()));
-    if (line->empty()) break;
+  while ((line = TakeLine(head)) && !line->empty()) {
     auto header = ParseHeaderLine(*line);
     if (!header) return tl::make_unexpected(std::move(header.error()));
     if (split.headers.size() == kMaxHeaders) {
@@ -102,6 +75,7 @@
     }
     split.headers.push_back(std::move(*header));
   }
+  if (!line) return tl::make_unexpected("line without end");
   if (!head.empty()) return tl::make_unexpected("bytes behind the head");
   return split;
 }
@@ -147,6 +121,23 @@
   return position + kBlankLine.size();
 }
 
+tl::expected<Header, std::string> ParseHeaderLine(std::string_view line) {
+  if (HasControl(line)) {
+    return tl::make_unexpected("control character in the head");
+  }
+  const std::size_t colon = line.find(':');
+  const bool has_name =
+      colon != std::string_view::npos && IsToken(line.substr(0, colon));
+  if (!has_name) {
+    return tl::make_unexpected("header line without a name");
+  }
+  const std::string_view value = TrimBlanks(line.substr(colon + 1));
+  if (colon > kMaxName || value.size() > kMaxValue) {
+    return tl::make_unexpected("header is too long");
+  }
+  return Header{std::string(line.substr(0, colon)), std::string(value)};
+}
+
 tl::expected<RequestHead, std::string> ParseRequestHead(std::string_view head) {
   auto split = Split(head);
   if (!split) return tl::make_unexpected(std::move(split.error()));
--- a/lib/core/http_text.cc
+++ b/lib/core/http_text.cc
@@ -86,6 +86,13 @@
   return !text.empty() && std::all_of(text.begin(), text.end(), IsTokenLetter);
 }
 
+bool HasControl(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](char letter) {
+    const auto byte = static_cast<unsigned char>(letter);
+    return (byte < ' ' && letter != '\t') || letter == '\x7f';
+  });
+}
+
 bool IsSameHeaderName(std::string_view first, std::string_view second) {
   return std::equal(first.begin(), first.end(), second.begin(), second.end(),
                     [](char a, char b) { return ToLower(a) == ToLower(b); });
--- a/unittests/core/http_body_test.cc
+++ b/unittests/core/http_body_test.cc
@@ -54,6 +54,27 @@
     }
   }
 
+  // A chunk that is longer than its size says may have "0" on a line of its
+  // own; what follows is no header then.
+  SECTION("what follows the last chunk is no trailer") {
+    for (const std::string line : {"more of the body", "T\x01: v", " T: v",
+                                   ": v", "T: \x01", "T: v\n"}) {
+      CAPTURE(line);
+      BodyReader reader({BodyFraming::kChunked, 0}, 10);
+      CHECK(FeedInSteps(reader, "3\r\nabc\r\n0\r\n" + line + "\r\n\r\n", step,
+                        rest) == Status::kMalformed);
+    }
+  }
+
+  SECTION("a chunk extension has control characters") {
+    for (const std::string line : {"3;x\n", "3;x=\x01", "3;\v"}) {
+      CAPTURE(line);
+      BodyReader reader({BodyFraming::kChunked, 0}, 10);
+      CHECK(FeedInSteps(reader, line + "\r\nabc\r\n0\r\n\r\n", step, rest) ==
+            Status::kMalformed);
+    }
+  }
+
   SECTION("a body that is too large is refused before it is read") {
     BodyReader reader({BodyFraming::kChunked, 0}, 4);
     CHECK(FeedInSteps(reader, "2\r\nab\r\n3\r\n", step, rest) ==
--- a/unittests/upstream/broken_head_test.cc
+++ b/unittests/upstream/broken_head_test.cc
@@ -139,6 +139,27 @@
   }
 }
 
+// The sizes of the chunks are wrong, so that a line of the body is taken for
+// the last chunk and the rest for trailers.
+SCENARIO("a part of a chunked body is delivered as a whole answer") {
+  const std::string start =
+      std::string(kStart) + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n";
+  const std::array answers = {
+      BrokenAnswer{"text behind the last chunk",
+                   start + "0\r\nrest of the body\r\n\r\n"},
+      BrokenAnswer{"a control character in the name of a trailer",
+                   start + "0\r\nX-\x01Trace: a\r\n\r\n"},
+      BrokenAnswer{"a control character in a chunk extension",
+                   start + "0;\x01\r\n\r\n"}};
+  for (const BrokenAnswer& answer : answers) {
+    WHEN(std::string("the upstream answers with ") + answer.title) {
+      THEN("the request ends without an answer, possibly run") {
+        BrokenHeadFixture().Answer(answer);
+      }
+    }
+  }
+}
+
 // POCO decodes RFC 2047 words when it reads a head, line ends among them.
 SCENARIO("a header value of an answer becomes further header lines") {
   const std::string value = "=?utf-8?q?a=0D=0AContent-Length:=209?=";
