tools: let the soak's upstreams answer with broken HTTP

No stand-in sent an answer whose head is no HTTP message, so neither the tests nor the soak could see that such answers reached clients.

All upstreams of the soak answer so once in 70. Its clients check that the names of headers are tokens and that a status is final; a test of the checks covers it.

--- a/tools/fakes/platform_upstream/main.cc
+++ b/tools/fakes/platform_upstream/main.cc
@@ -35,6 +35,8 @@
                  "run one request of so many and answer 503, 429, 408 or 421");
   app.add_option("--broken-off-answer-every", settings.broken_off_answer_every,
                  "answer one upload of so many unread, and then reset");
+  app.add_option("--malformed-answer-every", settings.malformed_answer_every,
+                 "answer one request of so many with broken HTTP");
   CLI11_PARSE(app, argc, argv);
   settings.work = std::chrono::milliseconds(work_ms);
   const sigset_t signals = bamboorack::tools::BlockSignals({SIGTERM, SIGINT});
--- a/tools/fakes/platform_upstream/platform_upstream.cc
+++ b/tools/fakes/platform_upstream/platform_upstream.cc
@@ -13,6 +13,7 @@
 #include "bamboorack/core/http_client.h"
 #include "bamboorack/core/stoppable_wait.h"
 #include "fakes/common/http_fake.h"
+#include "fakes/platform_upstream/malformed_answer.h"
 
 namespace bamboorack::fakes {
 namespace {
@@ -287,6 +288,26 @@
   }
 }
 
+void PlatformUpstream::SendMalformed(HTTPServerRequest& request,
+                                     HTTPServerResponse& response,
+                                     const std::string& body,
+                                     std::uint64_t number) {
+  response.setContentLength64(static_cast<Poco::Int64>(body.size()));
+  std::ostringstream answer;
+  response.write(answer);
+  answer << body;
+  const std::string text = Malform(answer.str(), number);
+  auto& connection = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request);
+  Poco::Net::StreamSocket socket = connection.detachSocket();
+  try {
+    socket.sendBytes(text.data(), static_cast<int>(text.size()));
+    socket.close();
+  } catch (const Poco::Exception&) {
+    // The caller has closed the connection.
+    return;
+  }
+}
+
 void PlatformUpstream::Run(HTTPServerRequest& request,
                            HTTPServerResponse& response) {
   const std::uint64_t number = ++this->requests;
@@ -321,6 +342,11 @@
     this->BreakOff(request, response, answer, is_whole);
     return;
   }
+  const std::uint32_t malformed = this->settings.malformed_answer_every;
+  if (malformed != 0 && number % malformed == 0) {
+    SendMalformed(request, response, answer, number / malformed);
+    return;
+  }
   const std::uint32_t rejected = this->settings.own_rejection_every;
   if (rejected != 0 && number % rejected == 0) {
     SendJson(response, kRejections.at(number / rejected % kRejections.size()),
--- a/tools/fakes/platform_upstream/platform_upstream.h
+++ b/tools/fakes/platform_upstream/platform_upstream.h
@@ -48,6 +48,9 @@
   /// connection: in turn in the middle of an answer without a length, and
   /// after a whole one with a length; 0 for none.
   std::uint32_t broken_off_answer_every = 0;
+  /// Runs one request of so many, sends an answer that is no HTTP message and
+  /// closes the connection; 0 for none.
+  std::uint32_t malformed_answer_every = 0;
 };
 
 /// A stand-in for an upstream of the platform: registers itself, takes grants
@@ -99,6 +102,10 @@
   void BreakOff(Poco::Net::HTTPServerRequest& request,
                 const Poco::Net::HTTPServerResponse& response,
                 const std::string& body, bool is_whole);
+  /// Sends an answer with the fault of `number`, and closes the connection.
+  static void SendMalformed(Poco::Net::HTTPServerRequest& request,
+                            Poco::Net::HTTPServerResponse& response,
+                            const std::string& body, std::uint64_t number);
   void CutLocked(std::uint32_t first, std::uint32_t last);
   bool HoldsLocked(std::uint32_t key) const;
   void Run(Poco::Net::HTTPServerRequest& request,
--- a/tools/platform_soak/checks.cc
+++ b/tools/platform_soak/checks.cc
@@ -171,6 +171,10 @@
       breaches.push_back("request " + client.request +
                          " got an answer that is not its own");
     }
+    if (client.status != 0 && (client.status < 200 || !client.has_valid_head)) {
+      breaches.push_back("request " + client.request +
+                         " got an answer that is no HTTP message");
+    }
   }
   return breaches;
 }
--- a/tools/platform_soak/checks.h
+++ b/tools/platform_soak/checks.h
@@ -39,6 +39,8 @@
   /// The HTTP status, or 0 if the connection failed.
   int status = 0;
   bool has_right_body = false;
+  /// Whether the names of all headers were valid.
+  bool has_valid_head = true;
 };
 
 /// Reads the JSON lines of one upstream. Other lines are ignored.
@@ -48,7 +50,8 @@
 /// - no two upstreams hold a key at the same time;
 /// - a request that must not be repeated runs once at most;
 /// - a request that was refused as not run has not run;
-/// - an answer is the answer to its request, and the request has run.
+/// - an answer is the answer to its request, and the request has run;
+/// - an answer is an HTTP message.
 std::vector<std::string> FindBreaches(
     const std::vector<UpstreamRecord>& upstreams,
     const std::vector<ClientRecord>& clients);
--- a/tools/platform_soak/cluster.cc
+++ b/tools/platform_soak/cluster.cc
@@ -26,6 +26,8 @@
 constexpr int kOwnRejectionEvery = 50;
 // They answer one upload of so many unread, and break off.
 constexpr int kBrokenOffAnswerEvery = 3;
+// They run one request of so many and send what is no HTTP message.
+constexpr int kMalformedAnswerEvery = 70;
 
 std::uint16_t FreePort() {
   Poco::Net::ServerSocket socket;
@@ -133,7 +135,9 @@
       "--own-rejection-every",
       std::to_string(kOwnRejectionEvery),
       "--broken-off-answer-every",
-      std::to_string(kBrokenOffAnswerEvery)};
+      std::to_string(kBrokenOffAnswerEvery),
+      "--malformed-answer-every",
+      std::to_string(kMalformedAnswerEvery)};
   if (upstream.is_sharded) arguments.emplace_back("--sharded");
   upstream.process.Start(arguments, log);
   upstream.link->SetTarget(ReadPort(log));
--- a/tools/platform_soak/main.cc
+++ b/tools/platform_soak/main.cc
@@ -6,6 +6,7 @@
 #include <signal.h>
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <chrono>
@@ -19,6 +20,7 @@
 #include <thread>
 #include <vector>
 
+#include "bamboorack/core/http_text.h"
 #include "platform_soak/checks.h"
 #include "platform_soak/cluster.h"
 
@@ -96,6 +98,9 @@
       record.status = response.getStatus();
       record.has_right_body =
           answer.find("\"" + id + "\"") != std::string::npos;
+      record.has_valid_head = std::all_of(
+          response.begin(), response.end(),
+          [](const auto& header) { return bamboorack::IsToken(header.first); });
       if (!response.getKeepAlive()) this->session.reset();
     } catch (const Poco::Exception&) {
       this->session.reset();
--- a/unittests/platform_soak/checks_test.cc
+++ b/unittests/platform_soak/checks_test.cc
@@ -64,6 +64,13 @@
     CHECK(FindBreaches({a}, {{"q1", 200, false}}).size() == 1);
     CHECK(FindBreaches({a}, {{"q2", 200, true}}).size() == 1);
   }
+  SECTION("an answer that is no HTTP message") {
+    const UpstreamRecord a{"a", {Run(1, "q1")}};
+    CHECK(FindBreaches({a}, {{"q1", 200, true, false}}).size() == 1);
+    CHECK(FindBreaches({a}, {{"q1", 502, false, false}}).size() == 1);
+    CHECK(FindBreaches({a}, {{"q1", 100, true}}).size() == 1);
+    CHECK(FindBreaches({a}, {{"q1", 0, false}}).empty());
+  }
   SECTION("lines are read as they were written") {
     std::istringstream in(
         "listening port=1\n"
