--- a/tools/platform_soak/cluster.cc
+++ b/tools/platform_soak/cluster.cc
@@ -1,9 +1,11 @@
 #include "platform_soak/cluster.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <signal.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <fstream>
@@ -29,16 +31,30 @@
 // They run one request of so many and send what is no HTTP message.
 constexpr int kMalformedAnswerEvery = 70;
 
-std::uint16_t FreePort() {
-  Poco::Net::ServerSocket socket;
-  socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0), false, false);
-  return socket.address().port();
+// The kernel hands out ports from 32768 on, so that between the choice of a
+// port and its use by a gateway another process could get it. Each soak has a
+// block of ports below, and none of those of scripts/lib/cluster.sh, from 21000
+// on.
+constexpr std::uint16_t kFirstPort = 10'000;
+constexpr std::uint16_t kPortsPerBlock = 200;
+constexpr std::uint16_t kBlocks = 50;
+
+std::uint16_t FirstPortOfProcess() {
+  return static_cast<std::uint16_t>(kFirstPort +
+                                    getpid() % kBlocks * kPortsPerBlock);
 }
 
-std::uint16_t FreeDatagramPort() {
-  Poco::Net::DatagramSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0),
-                                   false);
-  return socket.address().port();
+/// Whether neither a stream nor a datagram socket uses the port.
+bool IsFree(std::uint16_t port) {
+  const Poco::Net::SocketAddress address("127.0.0.1", port);
+  try {
+    Poco::Net::ServerSocket stream;
+    stream.bind(address, false, false);
+    const Poco::Net::DatagramSocket datagram(address, false);
+    return true;
+  } catch (const Poco::Exception&) {
+    return false;
+  }
 }
 
 /// Waits for the line in which a stand-in tells its port.
@@ -85,7 +101,8 @@
 
 }  // namespace
 
-Cluster::Cluster(ClusterPlan cluster_plan) : plan(std::move(cluster_plan)) {}
+Cluster::Cluster(ClusterPlan cluster_plan)
+    : plan(std::move(cluster_plan)), next_port(FirstPortOfProcess()) {}
 
 Cluster::~Cluster() = default;
 
@@ -104,13 +121,18 @@
     auto gateway = std::make_unique<Gateway>();
     gateway->store_link = std::make_unique<TcpProxy>();
     gateway->store_link->SetTarget(this->store_port);
-    gateway->caller_port = FreePort();
-    gateway->ready_port = FreePort();
+    gateway->caller_port = this->TakePort();
+    gateway->ready_port = this->TakePort();
     this->StartGateway(*gateway, i);
     this->gateways.push_back(std::move(gateway));
   }
 }
 
+std::uint16_t Cluster::TakePort() {
+  while (!IsFree(this->next_port)) ++this->next_port;
+  return this->next_port++;
+}
+
 void Cluster::StartStore() {
   const std::string log = this->plan.directory + "/store.log";
   this->store.Start({this->plan.binaries + "/fake_platform_store"}, log);
@@ -155,7 +177,7 @@
              << R"(","failure_domain":"east","caller_endpoint":"127.0.0.1:)"
              << gateway.caller_port << R"(","readiness_endpoint":"127.0.0.1:)"
              << gateway.ready_port << R"(","gossip_endpoint":"127.0.0.1:)"
-             << FreeDatagramPort() << R"(","log_endpoint":"127.0.0.1:)"
+             << this->TakePort() << R"(","log_endpoint":"127.0.0.1:)"
              << gateway.store_link->Port()
              << R"("},"bounds":["hold_max=10000ms","grace=6s"]})";
   }
--- a/tools/platform_soak/cluster.h
+++ b/tools/platform_soak/cluster.h
@@ -73,6 +73,8 @@
     std::vector<std::pair<std::string, Time>> logs;
   };
 
+  /// Returns a port that no other call has returned and no process uses.
+  std::uint16_t TakePort();
   void StartStore();
   void StartUpstream(Upstream& upstream);
   void StartGateway(Gateway& gateway, std::size_t index);
@@ -81,6 +83,7 @@
 
   const ClusterPlan plan;
   Process store;
+  std::uint16_t next_port = 0;
   std::uint16_t store_port = 0;
   std::uint64_t version = 0;
   std::vector<std::unique_ptr<Gateway>> gateways;
