--- a/lib/core/http_head.cc
+++ b/lib/core/http_head.cc
@@ -57,6 +57,7 @@
   std::vector<Header> headers;
 };
 
+/// Splits a head into its lines and parses all but the first.
 tl::expected<SplitHead, std::string> Split(std::string_view head) {
   SplitHead split;
   auto line = TakeLine(head);
--- a/tools/fakes/platform_upstream/malformed_answer.cc
+++ b/tools/fakes/platform_upstream/malformed_answer.cc
@@ -19,9 +19,7 @@
 }
 
 void PutControlInName(std::string& answer) {
-  InsertLine(answer,
-             "X-Tr\x01"
-             "ace: a");
+  InsertLine(answer, "X-\x01Trace: a");
 }
 
 void PutBlankInName(std::string& answer) { InsertLine(answer, "X Trace: a"); }
--- a/unittests/upstream/broken_head_test.cc
+++ b/unittests/upstream/broken_head_test.cc
@@ -63,8 +63,7 @@
                    WithLine("X-Trace\x02: a")},
       BrokenAnswer{"a control character at the start",
                    WithLine("\x1fX-Trace: a")},
-      BrokenAnswer{"a delete character", WithLine("X-Tra\x7f"
-                                                  "ce: a")},
+      BrokenAnswer{"a delete character", WithLine("X-\x7fTrace: a")},
       BrokenAnswer{"a vertical tab", WithLine("X-Trace\v: a")},
       BrokenAnswer{"a form feed", WithLine("X-\fTrace: a")},
       BrokenAnswer{"a tab", WithLine("X-\tTrace: a")},
