core, upstream, platform: types for warm-up limits, stated load and evacuation

Cause: three parts that are built side by side need the same types: the request rate that an upstream tolerates while it warms up, the load that an upstream states in an answer, and the failure domains that must get no requests. Change: ServiceSpec::warm_up_request_rate (read from warmup_per_s), StatedLoad in UpstreamNotice, evacuated domains and the directory of daemons in GatewayTables. Nothing uses them yet. Result: rows in documents_test for the rate and its faults; not yet run.

--- a/include/bamboorack/core/desired_state.h
+++ b/include/bamboorack/core/desired_state.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,9 @@
   std::size_t max_connections = 0;
   /// Whether upstreams own keys and run only requests for keys they hold.
   bool is_sharded = false;
+  /// Requests per second, from all daemons together, that an upstream tolerates
+  /// while it warms up. Nothing if it needs no protection then.
+  std::optional<double> warm_up_request_rate{};
 
   bool operator==(const ServiceSpec&) const = default;
 };
--- a/include/bamboorack/daemon/gateway_messages.h
+++ b/include/bamboorack/daemon/gateway_messages.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -28,6 +29,12 @@
   std::shared_ptr<const DesiredState> desired;
   std::shared_ptr<const std::vector<RegisteredUpstream>> upstreams;
   std::shared_ptr<const OwnerMap> owners;
+  /// Failure domains whose upstreams must get no requests, by the operator's
+  /// order.
+  std::shared_ptr<const std::set<FailureDomain>> evacuated_domains;
+  /// All daemons in the directory, in the order of their ids, this one
+  /// included.
+  std::shared_ptr<const std::vector<DaemonId>> daemons;
   /// When the upstream registry was last read from the log directly.
   MonotonicTime upstreams_read_at;
 };
--- a/include/bamboorack/upstream/messages.h
+++ b/include/bamboorack/upstream/messages.h
@@ -16,6 +16,7 @@
 #include "bamboorack/core/record.h"
 #include "bamboorack/core/request.h"
 #include "bamboorack/core/time.h"
+#include "bamboorack/upstream/stated_load.h"
 
 namespace bamboorack::upstream {
 
@@ -220,6 +221,10 @@
   std::optional<std::chrono::milliseconds> retry_after{};
   /// It asked for a time that is no positive number of seconds.
   bool is_retry_after_invalid = false;
+  /// The load that it states, if it does.
+  std::optional<StatedLoad> load{};
+  /// It stated a load that cannot be read.
+  bool is_load_invalid = false;
 };
 
 /// The outcome of a dispatch. The ending is `kNotRun` only if nothing was
--- a/unittests/platform/documents_test.cc
+++ b/unittests/platform/documents_test.cc
@@ -26,8 +26,9 @@
      "kind": "upload", "timeout": "2s", "latency_target": "800ms",
      "priority": 2, "service": "s2", "max_attempts": 1}],
   "services": [
-    {"name": "s1", "health_path": "/h", "max_conns": 130, "sharded": true},
-    {"name": "s2", "health_path": "/h", "max_conns": 120}],
+    {"name": "s1", "health_path": "/h", "max_conns": 130, "sharded": true,
+     "warmup": "3s", "warmup_per_s": 3.9},
+    {"name": "s2", "health_path": "/h", "max_conns": 120, "warmup_per_s": 0}],
   "limits": {}
 })";
 
@@ -58,6 +59,8 @@
     CHECK(state->routes[1].timeout == milliseconds(2'000));
     CHECK(state->FindService(ServiceName("s1"))->is_sharded);
     CHECK_FALSE(state->FindService(ServiceName("s2"))->is_sharded);
+    CHECK(state->FindService(ServiceName("s1"))->warm_up_request_rate == 3.9);
+    CHECK_FALSE(state->FindService(ServiceName("s2"))->warm_up_request_rate);
   }
 
   GIVEN("an upstream's entry") {
@@ -91,7 +94,9 @@
         {"\"service\": \"s2\", \"max", "\"service\": \"s9\", \"max",
          "unknown service s9"},
         {"\"routes\": [", "\"routes\": 7, \"x\": [", "routes"},
-        {"\"max_attempts\": 2", "\"max_attempts\": \"2\"", "max_attempts"}};
+        {"\"max_attempts\": 2", "\"max_attempts\": \"2\"", "max_attempts"},
+        {"\"warmup_per_s\": 3.9", "\"warmup_per_s\": -1", "warmup_per_s"},
+        {"\"warmup_per_s\": 3.9", "\"warmup_per_s\": true", "warmup_per_s"}};
     for (const Fault& fault : faults) {
       const auto state =
           documents->ReadDesiredState(Replace(kState, fault.from, fault.to));
