upstream: limit what a daemon sends before the others hear of it

Cause: on a deployment with 33 daemons a hot key moved to another upstream. All daemons held requests for it, saw the new owner idle and each sent up to its whole limit of eight at once. Ruled out: too many open connections in general (none are reset outside these moments). Change: between two of its load reports a daemon sends an upstream at most one request, or twice its even part of the free places if that is more. A daemon that hears no other one is not limited.

--- a/include/bamboorack/upstream/load_balancer.h
+++ b/include/bamboorack/upstream/load_balancer.h
@@ -12,6 +12,7 @@
 #include "bamboorack/core/leaving_upstreams.h"
 #include "bamboorack/core/time.h"
 #include "bamboorack/core/upstream_registry.h"
+#include "bamboorack/upstream/burst_limit.h"
 
 namespace bamboorack::upstream {
 
@@ -40,6 +41,8 @@
 ///   requests that the others report.
 /// - Dozens of daemons send to one upstream when a key becomes hot: while the
 ///   upstream is at its limit, the daemons send one request each in turns.
+/// - Every daemon holds requests for a key that gets an owner again: none of
+///   them fills the upstream before the others hear of it.
 /// - An upstream refuses, fails or becomes slow: it gets fewer requests, but a
 ///   service always keeps some upstreams in use.
 /// - An upstream says that it leaves, or asks for time: it gets no requests,
@@ -59,6 +62,11 @@
                    std::map<UpstreamId, std::uint32_t> in_flight,
                    MonotonicTime now);
 
+  /// Sets the time between two load reports of this daemon.
+  void SetReportInterval(std::chrono::milliseconds interval) {
+    this->report_interval = interval;
+  }
+
   void OnSent(const UpstreamId& id, MonotonicTime now);
   /// `mean_latency` is the mean latency of similar requests at all upstreams, 0
   /// if unknown. The ratio of `latency` to it measures the upstream's speed.
@@ -131,6 +139,7 @@
     /// Sum over the load reports that are in use.
     std::uint32_t peer_in_flight = 0;
     MonotonicTime last_sent;
+    BurstLimit burst;
     MonotonicTime paused_until;
     /// Smoothed latency; 0 before the first answer.
     std::chrono::nanoseconds latency{0};
@@ -181,6 +190,7 @@
   /// Reports that are not too old. The cost of a choice must not grow with
   /// their number, so they are summed up when they come and go.
   std::map<DaemonId, PeerLoad> peers;
+  std::chrono::milliseconds report_interval{100};
   /// No report becomes too old before this time.
   MonotonicTime next_report_expiry = MonotonicTime::max();
   /// No upstream is ejected or paused after these times.
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -415,7 +415,9 @@
     this->DrainAllQueues();
   }
   if (time >= this->next_report) {
-    this->next_report = time + this->LoadReportInterval();
+    const milliseconds interval = this->LoadReportInterval();
+    this->load_balancer.SetReportInterval(interval);
+    this->next_report = time + interval;
     this->ReportLoad();
   }
   return this->TakeActions();
--- a/lib/upstream/load_balancer.cc
+++ b/lib/upstream/load_balancer.cc
@@ -179,6 +179,7 @@
   if (found == this->states.end()) return;
   ++found->second.in_flight;
   found->second.last_sent = now;
+  found->second.burst.OnSent(now, now + this->report_interval);
 }
 
 void LoadBalancer::OnEnded(const UpstreamId& id, UpstreamOutcome outcome,
@@ -314,11 +315,13 @@
                                MonotonicTime now) const {
   if (now < state.paused_until) return false;
   const double limit = this->LimitOf(state, now);
-  const auto daemons = static_cast<double>(this->peers.size() + 1);
-  if (TotalInFlight(state) + 1 <= limit) return true;
+  const std::size_t daemons = this->peers.size() + 1;
+  const double free_places = limit - TotalInFlight(state);
+  if (free_places >= 1) return state.burst.Allows(free_places, daemons, now);
   // At the limit, the daemons without a request there take turns.
   if (state.in_flight > 0) return false;
-  const Seconds turn_interval = Seconds(state.latency) * daemons / limit;
+  const Seconds turn_interval =
+      Seconds(state.latency) * static_cast<double>(daemons) / limit;
   return now - state.last_sent >= turn_interval;
 }
 
