--- a/include/bamboorack/log_service/state_documents.h
+++ b/include/bamboorack/log_service/state_documents.h
@@ -1,10 +1,12 @@
 #ifndef BAMBOORACK_LOG_SERVICE_STATE_DOCUMENTS_H_
 #define BAMBOORACK_LOG_SERVICE_STATE_DOCUMENTS_H_
 
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 
 #include "bamboorack/core/desired_state.h"
+#include "bamboorack/core/ids.h"
 #include "bamboorack/core/upstream_registry.h"
 
 namespace bamboorack::log_service {
@@ -24,6 +26,11 @@
       const std::string& text) const = 0;
   virtual tl::expected<RegisteredUpstream, std::string> ReadUpstream(
       const std::string& key, const std::string& text) const = 0;
+  /// Returns the failure domain that a record with this key in the topic of the
+  /// desired state orders to evacuate, whatever its value. Returns nothing if
+  /// such a record is about something else.
+  virtual tl::expected<std::optional<FailureDomain>, std::string>
+  ReadEvacuationKey(const std::string& key) const = 0;
 };
 
 }  // namespace bamboorack::log_service
--- a/include/bamboorack/operator/gateway_settings.h
+++ b/include/bamboorack/operator/gateway_settings.h
@@ -26,6 +26,9 @@
   std::chrono::milliseconds longest_lease{10'000};
   /// From a request to stop until the process is killed.
   std::chrono::milliseconds stop_time{6'000};
+  /// From the log's acknowledgement of an order to evacuate a failure domain
+  /// until no request may reach an upstream there.
+  std::chrono::milliseconds evacuation_time{5'000};
   /// Rate of the VM's network link in megabits a second; 0 if not known.
   std::uint32_t link_mbps = 0;
   /// Memory that the process may use before it is killed, in megabytes; 0 if
--- a/lib/operator/gateway_settings.cc
+++ b/lib/operator/gateway_settings.cc
@@ -13,6 +13,7 @@
 constexpr auto kOptional = Presence::kOptional;
 constexpr Range kLeaseRange{1'000, 600'000};
 constexpr Range kStopRange{1'000, 600'000};
+constexpr Range kEvacuationRange{0, 600'000};
 
 constexpr std::array kGatewayFields = {
     Field<&GatewaySettings::daemon_id>("daemon_id", kRequired),
@@ -27,6 +28,8 @@
     Field<&GatewaySettings::longest_lease>("longest_lease_ms", kOptional,
                                            kLeaseRange),
     Field<&GatewaySettings::stop_time>("stop_ms", kOptional, kStopRange),
+    Field<&GatewaySettings::evacuation_time>("evacuation_ms", kOptional,
+                                             kEvacuationRange),
     Field<&GatewaySettings::link_mbps>("link_mbps", kOptional, {0, 10'000'000}),
     Field<&GatewaySettings::memory_mb>("memory_mb", kOptional, {0, 10'000'000}),
     Field<&GatewaySettings::caller_connections>("caller_connections", kOptional,
--- a/unittests/daemon/ownership_thread_test.cc
+++ b/unittests/daemon/ownership_thread_test.cc
@@ -65,6 +65,10 @@
     entry.slots = 4;
     return entry;
   }
+  tl::expected<std::optional<FailureDomain>, std::string> ReadEvacuationKey(
+      const std::string& /*key*/) const override {
+    return std::optional<FailureDomain>();
+  }
 
   mutable BoundedRing<bool> read_started{1};
   mutable BoundedRing<bool> read_released{1};
