--- a/include/bamboorack/upstream/load_balancer.h
+++ b/include/bamboorack/upstream/load_balancer.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <vector>
 
+#include "bamboorack/core/evacuations.h"
 #include "bamboorack/core/ids.h"
 #include "bamboorack/core/leaving_upstreams.h"
 #include "bamboorack/core/time.h"
@@ -44,6 +45,8 @@
 ///   service always keeps some upstreams in use.
 /// - An upstream says that it leaves, or asks for time: it gets no requests,
 ///   and those that cannot wait are not kept for it.
+/// - The operator evacuates a failure domain: its upstreams get no requests,
+///   those for keys that they still hold excepted until a deadline.
 /// - A service is at its limit: requests queue in the daemons, which can order
 ///   them by priority, and not at the upstreams.
 class LoadBalancer {
@@ -53,6 +56,8 @@
 
   void SetUpstreams(const std::vector<RegisteredUpstream>& entries,
                     MonotonicTime now);
+  /// Replaces the failure domains that get no requests.
+  void SetEvacuated(const EvacuatedDomains& domains);
   /// Replaces the number of requests that another daemon has in flight at each
   /// upstream.
   void SetPeerLoad(const DaemonId& peer,
@@ -86,8 +91,11 @@
   const RegisteredUpstream* Find(const UpstreamId& id) const;
   /// Whether the upstream may get requests for keys that it holds. A draining
   /// upstream still gets them for `kDrainGracePeriod`, until its keys have
-  /// moved.
+  /// moved; one in an evacuated failure domain until `LatestSend`.
   bool MayServeKeys(const UpstreamId& id, MonotonicTime now) const;
+  /// Returns the time after which no request may be sent to the upstream
+  /// because its failure domain is evacuated, or the largest time.
+  MonotonicTime LatestSend(const UpstreamId& id) const;
   /// Whether this daemon may send one more request to the upstream now.
   bool HasCapacity(const UpstreamId& id, MonotonicTime now);
   /// Whether all slots of the upstream are taken, so that a request sent now
@@ -98,8 +106,12 @@
   std::optional<UpstreamId> Choose(const ServiceName& service,
                                    const std::set<UpstreamId>& tried,
                                    MonotonicTime now);
-  /// Whether the service has an upstream that is not draining.
+  /// Whether the service has an upstream that is neither draining nor in an
+  /// evacuated failure domain.
   bool HasActiveUpstream(const ServiceName& service) const;
+  /// Whether the service has no active upstream, but would have one without the
+  /// evacuation.
+  bool IsEvacuated(const ServiceName& service) const;
 
   std::uint32_t OwnInFlight(const UpstreamId& id) const;
   /// Smoothed ratio of the latency to the mean latency of similar requests: 1
@@ -161,6 +173,7 @@
   /// Takes back the reports that have become too old.
   void DropOldReports(MonotonicTime now);
   void IndexByService();
+  MonotonicTime LatestSend(const UpstreamState& state) const;
   bool HasCapacity(const UpstreamState& state, MonotonicTime now) const;
   /// Returns a number from 1 to 1 + `kScoreJitter`.
   double DrawJitter();
@@ -174,9 +187,14 @@
   const FailureDomain domain;
   std::uint64_t random_state;
   std::map<UpstreamId, UpstreamState> states;
-  /// The upstreams of each service that are not draining, so that a choice
-  /// does not walk those of other services. Points into `states`.
+  EvacuatedDomains evacuated;
+  /// The upstreams of each service that are neither draining nor in an
+  /// evacuated failure domain, so that a choice does not walk those of other
+  /// services. Points into `states`.
   std::map<ServiceName, std::vector<UpstreamState*>> by_service;
+  /// Services with an upstream that is not in `by_service` only because of an
+  /// evacuation.
+  std::set<ServiceName> evacuated_services;
   LeavingUpstreams leaving;
   /// Reports that are not too old. The cost of a choice must not grow with
   /// their number, so they are summed up when they come and go.
--- a/lib/upstream/load_balancer.cc
+++ b/lib/upstream/load_balancer.cc
@@ -78,12 +78,33 @@
 
 void LoadBalancer::IndexByService() {
   this->by_service.clear();
+  this->evacuated_services.clear();
   for (auto& [id, state] : this->states) {
     if (state.entry.is_draining) continue;
+    if (this->evacuated.contains(state.entry.failure_domain)) {
+      this->evacuated_services.insert(state.entry.service);
+      continue;
+    }
     this->by_service[state.entry.service].push_back(&state);
   }
 }
 
+void LoadBalancer::SetEvacuated(const EvacuatedDomains& domains) {
+  this->evacuated = domains;
+  this->IndexByService();
+}
+
+MonotonicTime LoadBalancer::LatestSend(const UpstreamId& id) const {
+  const auto found = this->states.find(id);
+  return found == this->states.end() ? MonotonicTime::max()
+                                     : this->LatestSend(found->second);
+}
+
+MonotonicTime LoadBalancer::LatestSend(const UpstreamState& state) const {
+  const auto found = this->evacuated.find(state.entry.failure_domain);
+  return found == this->evacuated.end() ? MonotonicTime::max() : found->second;
+}
+
 bool LoadBalancer::MarkLeaving(const UpstreamRun& run, MonotonicTime now) {
   if (!this->leaving.Add(run)) return false;
   const auto found = this->states.find(run.id);
@@ -291,7 +312,8 @@
 const RegisteredUpstream* LoadBalancer::Find(const UpstreamId& id) const {
   const auto found = this->states.find(id);
   if (found == this->states.end() || found->second.entry.is_draining ||
-      found->second.is_replaced) {
+      found->second.is_replaced ||
+      this->evacuated.contains(found->second.entry.failure_domain)) {
     return nullptr;
   }
   return &found->second.entry;
@@ -300,6 +322,7 @@
 bool LoadBalancer::MayServeKeys(const UpstreamId& id, MonotonicTime now) const {
   const auto found = this->states.find(id);
   if (found == this->states.end()) return false;
+  if (now >= this->LatestSend(found->second)) return false;
   const auto& since = found->second.draining_since;
   return !since || now - *since < kDrainGracePeriod;
 }
@@ -366,6 +389,11 @@
   return this->by_service.contains(service);
 }
 
+bool LoadBalancer::IsEvacuated(const ServiceName& service) const {
+  return !this->by_service.contains(service) &&
+         this->evacuated_services.contains(service);
+}
+
 std::uint32_t LoadBalancer::OwnInFlight(const UpstreamId& id) const {
   const auto found = this->states.find(id);
   return found == this->states.end() ? 0 : found->second.in_flight;
