daemon: carry out orders to evacuate a failure domain

Change: the controller applies the orders with the desired state, leaves the domain out of the planner's candidates and plans at once. The router obeys on all paths, and refuses at once with the new reason evacuated if a service has no upstream elsewhere. Relays carry orders, so that a daemon that cannot read the log hears of them.

--- a/include/bamboorack/core/reason.h
+++ b/include/bamboorack/core/reason.h
@@ -45,6 +45,7 @@
   kCancelled,
   kUpstreamAnswerCut,
   kUpstreamUnmarkedRejection,
+  kEvacuated,
 };
 
 /// One row of the table of reasons.
@@ -90,6 +91,7 @@
     ReasonInfo{Reason::kUpstreamAnswerCut, "upstream_answer_cut", 502},
     ReasonInfo{Reason::kUpstreamUnmarkedRejection,
                "upstream_unmarked_rejection", 502},
+    ReasonInfo{Reason::kEvacuated, "evacuated", 503},
 };
 
 inline constexpr std::size_t kReasonCount = kReasons.size();
--- a/include/bamboorack/daemon/gateway_messages.h
+++ b/include/bamboorack/daemon/gateway_messages.h
@@ -5,13 +5,13 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string_view>
 #include <variant>
 #include <vector>
 
 #include "bamboorack/caller/messages.h"
 #include "bamboorack/core/desired_state.h"
+#include "bamboorack/core/evacuations.h"
 #include "bamboorack/core/event_log.h"
 #include "bamboorack/core/owner_map.h"
 #include "bamboorack/core/reason.h"
@@ -30,8 +30,8 @@
   std::shared_ptr<const std::vector<RegisteredUpstream>> upstreams;
   std::shared_ptr<const OwnerMap> owners;
   /// Failure domains whose upstreams must get no requests, by the operator's
-  /// order.
-  std::shared_ptr<const std::set<FailureDomain>> evacuated_domains;
+  /// order. Null if there was none.
+  std::shared_ptr<const EvacuatedDomains> evacuated_domains;
   /// All daemons in the directory, in the order of their ids, this one
   /// included.
   std::shared_ptr<const std::vector<DaemonId>> daemons;
--- a/include/bamboorack/daemon/gateway_router.h
+++ b/include/bamboorack/daemon/gateway_router.h
@@ -130,6 +130,8 @@
   void SendOrEnqueue(PendingRequest& pending, const QueueKey& key, bool is_new);
   void WaitForOwner(PendingRequest& pending);
   void DrainQueue(const QueueKey& key);
+  /// Whether the requests in a queue must no longer be sent to its upstreams.
+  bool IsClosed(const QueueKey& key) const;
   /// Schedules the requests of `queue` again; they wait for the next owner of
   /// their keys if theirs has left.
   void RescheduleQueue(upstream::WaitQueue& queue);
@@ -145,6 +147,11 @@
                    const upstream::UpstreamNotice& notice);
   void PauseUpstream(const PendingRequest& pending,
                      std::chrono::milliseconds requested);
+  /// Applies the evacuated failure domains in `tables`.
+  void ApplyEvacuations();
+  /// Refuses a request of a service whose upstreams are all in evacuated
+  /// failure domains. Returns whether it did.
+  bool RefuseIfEvacuated(PendingRequest& pending);
   /// Makes this daemon and the others stop using a run that leaves.
   void MarkLeaving(const UpstreamRun& run);
   /// Refuses a request whose upstreams want none before `paused_until`, if it
--- a/include/bamboorack/daemon/ownership_controller.h
+++ b/include/bamboorack/daemon/ownership_controller.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "bamboorack/core/desired_state.h"
+#include "bamboorack/core/evacuations.h"
 #include "bamboorack/core/event_log.h"
 #include "bamboorack/core/ids.h"
 #include "bamboorack/core/metrics.h"
@@ -60,6 +61,9 @@
     Endpoint gossip_endpoint;
     /// How much later than others this daemon claims leadership.
     std::chrono::milliseconds claim_delay{0};
+    /// From the log's acknowledgement of an order to evacuate a failure domain
+    /// until no request may reach an upstream there.
+    std::chrono::milliseconds evacuation_time{5'000};
   };
 
   OwnershipController(
@@ -87,6 +91,7 @@
 
  private:
   void ApplyDesiredState(const log_service::TopicUpdate& update);
+  void ApplyEvacuations(const log_service::TopicUpdate& update);
   void ApplyUpstreams(const log_service::TopicUpdate& update);
   void UpdateStoreContact(const log_service::TopicUpdate& update);
   void OnOwnershipRead(const tl::expected<log_service::KeyedRecords,
@@ -107,6 +112,8 @@
   /// Returns whether a registry record differs from the last relayed record of
   /// that upstream by more than a heartbeat.
   bool HasNewContent(const log_service::KeyedRecord& record);
+  /// Whether the update consists of orders to evacuate failure domains.
+  bool HasOnlyEvacuations(const log_service::TopicUpdate& update) const;
   void RequestLogRead();
 
   void CallStore();
@@ -125,6 +132,10 @@
   void CheckReachability();
   void PlanMoves();
   std::vector<upstream::RangeCandidate> Candidates(const ServiceName& service);
+  /// Reports how many ranges upstreams in evacuated failure domains hold. Only
+  /// the leader knows it.
+  void ReportEvacuations();
+  void ForgetEvacuationProgress();
   double RelativeSpeed(const UpstreamId& id) const;
   void PublishOwners();
   /// Merges the owners in a leader beat. Returns whether they were newer than
@@ -154,6 +165,9 @@
   std::map<ServiceName, upstream::KeyLoad> key_loads;
   std::map<peer::UpstreamHash, std::map<DaemonId, double>> latency_ratios;
   std::set<peer::UpstreamDeparture> known_departures;
+  Evacuations evacuations;
+  /// As last reported by this daemon as the leader.
+  std::map<FailureDomain, std::size_t> evacuated_ranges;
   bool has_new_tables = false;
 
   bool is_store_busy = false;
--- a/lib/daemon/gateway.cc
+++ b/lib/daemon/gateway.cc
@@ -99,7 +99,7 @@
         log(event_log),
         instance(GenerateInstance()),
         controller({settings.daemon_id, instance, settings.gossip_endpoint,
-                    ClaimDelay(settings)},
+                    ClaimDelay(settings), settings.evacuation_time},
                    MakeRangeLeases(settings), adapter.documents, metrics,
                    std::chrono::steady_clock::now()),
         ownership(controller, rings, log, metrics),
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -90,10 +90,13 @@
   this->now = time;
   const bool is_new_state = this->tables.desired != new_tables.desired;
   const bool is_new_map = this->tables.owners != new_tables.owners;
+  const bool is_new_evacuation =
+      this->tables.evacuated_domains != new_tables.evacuated_domains;
   this->tables = new_tables;
   if (is_new_state && this->tables.desired) {
     this->routes = RouteTable(*this->tables.desired);
   }
+  if (is_new_evacuation) this->ApplyEvacuations();
   if (this->tables.upstreams) {
     this->load_balancer.SetUpstreams(*this->tables.upstreams, time);
     this->by_hash.clear();
@@ -101,7 +104,7 @@
       this->by_hash.emplace(peer::HashOf(entry.run.id), entry.run.id);
     }
   }
-  if (is_new_map) this->RescheduleWaiting();
+  if (is_new_map || is_new_evacuation) this->RescheduleWaiting();
   this->DrainAllQueues();
   return this->TakeActions();
 }
@@ -223,6 +226,7 @@
     return;
   }
   if (!this->load_balancer.HasActiveUpstream(pending.service)) {
+    if (this->RefuseIfEvacuated(pending)) return;
     this->Refuse(pending, Reason::kOwnerUnreachable,
                  "service " + pending.service.value + " has no upstream",
                  kNoOwnerRetryAfter);
@@ -242,7 +246,7 @@
       this->now < pending.not_before;
   if (owner == nullptr || is_disputed ||
       !this->load_balancer.MayServeKeys(owner->id, this->now)) {
-    this->WaitForOwner(pending);
+    if (!this->RefuseIfEvacuated(pending)) this->WaitForOwner(pending);
     return;
   }
   const MonotonicTime paused_until = this->load_balancer.PausedUntil(owner->id);
@@ -341,7 +345,8 @@
     dispatch.endpoint = entry->endpoint;
     pending.upstream_life = entry->run.life;
   }
-  dispatch.send_before = pending.hard_deadline;
+  dispatch.send_before =
+      std::min(pending.hard_deadline, this->load_balancer.LatestSend(id));
   dispatch.finish_before = pending.hard_deadline;
   dispatch.request = pending.request;
   dispatch.request.deadline = pending.hard_deadline + kAnswerTransitTime;
--- a/lib/daemon/gateway_router_queues.cc
+++ b/lib/daemon/gateway_router_queues.cc
@@ -21,10 +21,7 @@
   const auto found = this->queues.find(key);
   if (found == this->queues.end()) return;
   upstream::WaitQueue& queue = found->second;
-  const bool is_past_grace_period =
-      !key.upstream.IsEmpty() &&
-      !this->load_balancer.MayServeKeys(key.upstream, this->now);
-  if (is_past_grace_period) {
+  if (this->IsClosed(key)) {
     this->RescheduleQueue(queue);
     return;
   }
@@ -41,6 +38,13 @@
   }
 }
 
+bool GatewayRouter::IsClosed(const QueueKey& key) const {
+  if (key.upstream.IsEmpty()) {
+    return this->load_balancer.IsEvacuated(key.service);
+  }
+  return !this->load_balancer.MayServeKeys(key.upstream, this->now);
+}
+
 void GatewayRouter::RescheduleQueue(upstream::WaitQueue& queue) {
   for (const upstream::QueueEntry& entry : queue.TakeAll()) {
     PendingRequest& pending = this->requests.at(entry.request);
--- a/lib/daemon/ownership_controller.cc
+++ b/lib/daemon/ownership_controller.cc
@@ -45,6 +45,7 @@
       leadership(this->identity.daemon, this->identity.instance, start,
                  this->identity.claim_delay),
       lease_manager(range_leases),
+      evacuations(this->identity.evacuation_time),
       next_directory_call(start) {}
 
 OwnershipActions OwnershipController::TakeActions() {
@@ -236,6 +237,7 @@
     if (role == RangeLeadership::Role::kFollower) {
       this->LogEvent(EventKind::kOwnership, "leadership_lost",
                      {{"term", TextOf(this->leadership.OwnTerm())}});
+      this->ForgetEvacuationProgress();
     }
   }
   this->metrics.SetGauge("is_leader",
@@ -255,6 +257,7 @@
   if (this->now >= this->next_plan && !this->is_stopping) {
     this->next_plan = this->now + kPlanInterval;
     this->PlanMoves();
+    this->ReportEvacuations();
     this->CheckReachability();
   }
   for (upstream::ControlCall& call :
@@ -361,6 +364,7 @@
   if (!this->tables.upstreams) return candidates;
   for (const RegisteredUpstream& entry : *this->tables.upstreams) {
     if (entry.service != service || entry.is_draining) continue;
+    if (this->evacuations.Contains(entry.failure_domain)) continue;
     if (this->lease_manager.IsUnreachable(entry.run, this->now)) continue;
     candidates.push_back(
         {entry.run, entry.slots * this->RelativeSpeed(entry.run.id)});
--- a/lib/daemon/ownership_controller_topics.cc
+++ b/lib/daemon/ownership_controller_topics.cc
@@ -82,15 +82,24 @@
   if (update.topic == Topic::kUpstreams && update.is_complete) {
     this->relayed_entries.clear();
   }
-  // Relays of the desired state carry no records: it may be larger than a
-  // datagram, and it changes rarely.
+  // Relays of the desired state itself carry no records: it may be larger than
+  // a datagram, and it changes rarely. Orders to evacuate are short, and a
+  // daemon that cannot read the log must learn of them too.
+  if (this->HasOnlyEvacuations(update)) {
+    relay.records.emplace();
+    for (const log_service::KeyedRecord& record : update.records) {
+      relay.records->emplace_back(record.key, record.value);
+    }
+  }
   if (update.topic == Topic::kUpstreams && !update.is_complete) {
     relay.records.emplace();
     for (const log_service::KeyedRecord& record : update.records) {
       if (!this->HasNewContent(record)) continue;
       relay.records->emplace_back(record.key, record.value);
     }
-    if (relay.records->size() > kMaxRelayedRecords) relay.records.reset();
+  }
+  if (relay.records && relay.records->size() > kMaxRelayedRecords) {
+    relay.records.reset();
   }
   if (update.topic == Topic::kDesiredState) {
     this->desired_state_relay = relay;
@@ -132,6 +141,7 @@
 
 void OwnershipController::ApplyDesiredState(
     const log_service::TopicUpdate& update) {
+  this->ApplyEvacuations(update);
   for (const log_service::KeyedRecord& record : update.records) {
     if (record.key != this->documents->DesiredStateKey() || !record.value) {
       continue;
--- a/lib/operator/request_history.cc
+++ b/lib/operator/request_history.cc
@@ -70,9 +70,10 @@
 
 const std::set<std::string>& ContextEvents() {
   static const std::set<std::string> events = {
-      "leadership_taken", "leadership_lost", "leadership_released",
-      "log_lost",         "log_regained",    "suspended",
-      "stopping",         "started",         "desired_state_rejected"};
+      "leadership_taken",   "leadership_lost", "leadership_released",
+      "log_lost",           "log_regained",    "suspended",
+      "stopping",           "started",         "desired_state_rejected",
+      "evacuation_ordered", "evacuation_ended"};
   return events;
 }
 
@@ -110,6 +111,9 @@
     CauseRow{"upstream_unmarked_rejection",
              "The upstream answered with a status that means not run, without "
              "the mark that it did not run the request."},
+    CauseRow{"evacuated",
+             "All upstreams of the service were in failure domains that the "
+             "operator had ordered to evacuate."},
     CauseRow{"retry_budget_empty",
              "The first attempt failed, and the retries of all daemons were "
              "used up."},
