tools: the soak evacuates a zone

Change: half of the upstreams are in a second zone, which is evacuated after the faults, with a gateway that is killed and a history that is dropped while the order stands. No request may run there between the bound and the end of the order.

--- a/tools/platform_soak/checks.cc
+++ b/tools/platform_soak/checks.cc
@@ -179,4 +179,20 @@
   return breaches;
 }
 
+std::vector<std::string> FindEvacuationBreaches(
+    const std::vector<UpstreamRecord>& upstreams, const ClosedZone& closed) {
+  std::vector<std::string> breaches;
+  for (const UpstreamRecord& record : upstreams) {
+    if (record.zone != closed.zone) continue;
+    for (const UpstreamEvent& event : record.events) {
+      const bool is_breach = event.kind == UpstreamEvent::Kind::kRun &&
+                             closed.from <= event.at && event.at < closed.until;
+      if (!is_breach) continue;
+      breaches.push_back("request " + event.request + " reached " + record.id +
+                         " in an evacuated zone");
+    }
+  }
+  return breaches;
+}
+
 }  // namespace bamboorack::soak
--- a/tools/platform_soak/checks.h
+++ b/tools/platform_soak/checks.h
@@ -31,6 +31,7 @@
   std::vector<UpstreamEvent> events;
   /// When the process was killed; the largest time if it was not.
   Time ended = Time::max();
+  std::string zone{};
 };
 
 /// What a client was told of one request that must not be repeated.
@@ -43,6 +44,13 @@
   bool has_valid_head = true;
 };
 
+/// The time in which no request may reach a zone.
+struct ClosedZone {
+  std::string zone;
+  Time from;
+  Time until;
+};
+
 /// Reads the JSON lines of one upstream. Other lines are ignored.
 std::vector<UpstreamEvent> ReadEvents(std::istream& in);
 
@@ -56,6 +64,11 @@
     const std::vector<UpstreamRecord>& upstreams,
     const std::vector<ClientRecord>& clients);
 
+/// Returns one line for each request that an upstream in the zone ran within
+/// the time.
+std::vector<std::string> FindEvacuationBreaches(
+    const std::vector<UpstreamRecord>& upstreams, const ClosedZone& closed);
+
 }  // namespace bamboorack::soak
 
 #endif  // BAMBOORACK_TOOLS_PLATFORM_SOAK_CHECKS_H_
--- a/tools/platform_soak/cluster.cc
+++ b/tools/platform_soak/cluster.cc
@@ -113,6 +113,7 @@
     auto upstream = std::make_unique<Upstream>();
     upstream->is_sharded = i < this->plan.upstreams;
     upstream->id = (upstream->is_sharded ? "r" : "d") + std::to_string(i);
+    upstream->zone = i % 2 == 0 ? "east" : kEvacuatedZone;
     upstream->link = std::make_unique<TcpProxy>();
     this->StartUpstream(*upstream);
     this->upstreams.push_back(std::move(upstream));
@@ -149,7 +150,7 @@
       "--service",
       upstream.is_sharded ? "reader" : "desk",
       "--zone",
-      "east",
+      upstream.zone,
       "--store-port",
       std::to_string(this->store_port),
       "--advertise",
@@ -179,7 +180,8 @@
              << gateway.ready_port << R"(","gossip_endpoint":"127.0.0.1:)"
              << this->TakePort() << R"(","log_endpoint":"127.0.0.1:)"
              << gateway.store_link->Port()
-             << R"("},"bounds":["hold_max=10000ms","grace=6s"]})";
+             << R"("},"bounds":["hold_max=10000ms","grace=6s","evacuate=)"
+             << kEvacuationBound.count() << R"(ms"]})";
   }
   gateway.process.Start({this->plan.binaries + "/bamboorack_gateway",
                          "--settings", gateway.settings_path},
@@ -245,6 +247,12 @@
                   EncodeRecord("config", DesiredStateOf(++this->version)));
 }
 
+void Cluster::SetEvacuated(bool is_evacuated) {
+  this->CallStore("POST", "/-/log-append?topic=keyed.op&part=0",
+                  EncodeRecord(std::string("evacuate/") + kEvacuatedZone,
+                               is_evacuated ? "{}" : ""));
+}
+
 std::vector<UpstreamRecord> Cluster::Finish() {
   for (auto& gateway : this->gateways) {
     gateway->process.Signal(SIGCONT);
@@ -257,7 +265,7 @@
     upstream->process.Wait();
     for (const auto& [log, ended] : upstream->logs) {
       std::ifstream in(log);
-      records.push_back({upstream->id, ReadEvents(in), ended});
+      records.push_back({upstream->id, ReadEvents(in), ended, upstream->zone});
     }
   }
   this->store.Signal(SIGTERM);
--- a/tools/platform_soak/cluster.h
+++ b/tools/platform_soak/cluster.h
@@ -1,6 +1,7 @@
 #ifndef BAMBOORACK_TOOLS_PLATFORM_SOAK_CLUSTER_H_
 #define BAMBOORACK_TOOLS_PLATFORM_SOAK_CLUSTER_H_
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -12,6 +13,11 @@
 
 namespace bamboorack::soak {
 
+/// Every second upstream is there.
+inline constexpr const char* kEvacuatedZone = "west";
+/// From the acknowledgement of an order until no request may reach the zone.
+inline constexpr std::chrono::milliseconds kEvacuationBound{5'000};
+
 /// Where the programs are and how many run.
 struct ClusterPlan {
   std::string binaries;
@@ -50,6 +56,8 @@
   void DropStoreHistory();
   /// Publishes the desired state under a new version.
   void PublishDesiredState();
+  /// Orders the evacuation of `kEvacuatedZone`, or takes it back.
+  void SetEvacuated(bool is_evacuated);
 
   /// Ends all processes and returns what the upstreams wrote.
   std::vector<UpstreamRecord> Finish();
@@ -66,6 +74,7 @@
 
   struct Upstream {
     std::string id;
+    std::string zone;
     bool is_sharded = false;
     Process process;
     std::unique_ptr<TcpProxy> link;
--- a/tools/platform_soak/main.cc
+++ b/tools/platform_soak/main.cc
@@ -40,6 +40,8 @@
 constexpr seconds kHealTime{14};
 constexpr seconds kFinalCheck{4};
 constexpr double kServedAfterHealing = 0.9;
+// How long an evacuation lasts beyond its bound.
+constexpr seconds kEvacuationCheck{4};
 // Of the requests with a body, one of so many is an upload.
 constexpr unsigned kUploadEvery = 10;
 constexpr std::size_t kUploadBytes = 360'000;
@@ -217,6 +219,22 @@
     &Chaos::FaultStoreLink,  &Chaos::FaultStore,
     &Chaos::DropHistory,     &Chaos::ChangeDesiredState};
 
+/// Orders an evacuation, and lets a gateway start again and the history go
+/// while the order stands. Returns when no request may reach the zone.
+bamboorack::soak::ClosedZone Evacuate(Cluster& cluster) {
+  cluster.SetEvacuated(true);
+  const Time from = steady_clock::now() + bamboorack::soak::kEvacuationBound;
+  std::this_thread::sleep_until(from - seconds(1));
+  cluster.DropStoreHistory();
+  cluster.SignalGateway(0, SIGKILL);
+  std::this_thread::sleep_for(milliseconds(100));
+  cluster.ReviveGateway(0);
+  std::this_thread::sleep_until(from + kEvacuationCheck);
+  const Time until = steady_clock::now();
+  cluster.SetEvacuated(false);
+  return {bamboorack::soak::kEvacuatedZone, from, until};
+}
+
 bool WaitUntilReady(const Cluster& cluster) {
   const Time limit = steady_clock::now() + kStartLimit;
   while (steady_clock::now() < limit) {
@@ -248,6 +266,8 @@
   }
   Chaos(cluster, seed).Run(steady_clock::now() + length);
   std::this_thread::sleep_for(kHealTime);
+  const auto closed = Evacuate(cluster);
+  std::this_thread::sleep_for(kHealTime);
   const Time healed = steady_clock::now();
   std::this_thread::sleep_for(kFinalCheck);
   for (std::jthread& thread : threads) thread.request_stop();
@@ -267,6 +287,9 @@
   }
   const auto found = bamboorack::soak::FindBreaches(upstreams, records);
   breaches.insert(breaches.end(), found.begin(), found.end());
+  const auto evacuation =
+      bamboorack::soak::FindEvacuationBreaches(upstreams, closed);
+  breaches.insert(breaches.end(), evacuation.begin(), evacuation.end());
   if (served < asked * kServedAfterHealing) {
     breaches.push_back("only " + std::to_string(served) + " of " +
                        std::to_string(asked) + " served after healing");
--- a/unittests/platform_soak/checks_test.cc
+++ b/unittests/platform_soak/checks_test.cc
@@ -64,6 +64,13 @@
     CHECK(FindBreaches({a}, {{"q1", 200, false}}).size() == 1);
     CHECK(FindBreaches({a}, {{"q2", 200, true}}).size() == 1);
   }
+  SECTION("a request in an evacuated zone, after the bound") {
+    const ClosedZone closed{"west", At(500), At(900)};
+    UpstreamRecord a{"a", {Run(499, "q1"), Run(500, "q2"), Run(900, "q3")}};
+    CHECK(FindEvacuationBreaches({a}, closed).empty());
+    a.zone = "west";
+    CHECK(FindEvacuationBreaches({a}, closed).size() == 1);
+  }
   SECTION("an answer that is no HTTP message") {
     const UpstreamRecord a{"a", {Run(1, "q1")}};
     CHECK(FindBreaches({a}, {{"q1", 200, true, false}}).size() == 1);
