core, daemon: keep when a warm-up ends instead of how long it lasts

Cause: the remaining warm-up of a registry entry was no change, so a daemon never learned that an upstream became cold again, and the value of a published entry never ran out. Change: the registry turns it into cold_until when a record is read. An end that moves by less than 1.2 s, the spread of the records' ages, is no change; any other move is published, and the leader relays it.

--- a/include/bamboorack/core/upstream_registry.h
+++ b/include/bamboorack/core/upstream_registry.h
@@ -23,12 +23,25 @@
   /// Requests that it runs at the same time.
   std::uint32_t slots = 1;
   bool is_draining = false;
-  /// How much longer it is slow after its start.
+  /// How much longer it warms up, as its record says. 0 in the entries of
+  /// `UpstreamRegistry`, which have `cold_until`.
   std::chrono::milliseconds warm_up_left{0};
+  /// When its warm-up ends. Late by the age of the record, never early.
+  MonotonicTime cold_until{};
 
   bool operator==(const RegisteredUpstream&) const = default;
 };
 
+/// The age of a record at the time it is read varies by 1.1 s, so two records
+/// of one warm-up give ends that differ by less than this.
+inline constexpr std::chrono::milliseconds kWarmUpEndTolerance{1'200};
+
+/// Replaces `warm_up_left` of an entry whose record was read at `now` by
+/// `cold_until`. `before` is what was known of the upstream, or null. An end
+/// that moves by less than `kWarmUpEndTolerance` stays as it was.
+void SetColdUntil(RegisteredUpstream& entry, const RegisteredUpstream* before,
+                  MonotonicTime now);
+
 /// The upstreams that may be used, from the records of the registry and from
 /// how well this process reaches it.
 ///
@@ -47,7 +60,7 @@
 
   static constexpr std::chrono::milliseconds kReturnTime{2'300};
 
-  /// Takes one record; nothing means that the entry was removed.
+  /// Takes one record, read at `now`; nothing means that the entry was removed.
   void Set(const UpstreamId& id, const std::optional<RegisteredUpstream>& entry,
            MonotonicTime now);
   /// Takes the whole registry.
--- a/lib/core/upstream_registry.cc
+++ b/lib/core/upstream_registry.cc
@@ -2,9 +2,23 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace bamboorack {
 
+void SetColdUntil(RegisteredUpstream& entry, const RegisteredUpstream* before,
+                  MonotonicTime now) {
+  const bool is_same_run = before != nullptr && before->run == entry.run;
+  const MonotonicTime known =
+      is_same_run ? before->cold_until : MonotonicTime{};
+  const MonotonicTime stated = entry.warm_up_left.count() > 0
+                                   ? now + entry.warm_up_left
+                                   : std::min(known, now);
+  const bool is_known = std::chrono::abs(stated - known) < kWarmUpEndTolerance;
+  entry.cold_until = is_known ? known : stated;
+  entry.warm_up_left = std::chrono::milliseconds(0);
+}
+
 void UpstreamRegistry::Set(const UpstreamId& id,
                            const std::optional<RegisteredUpstream>& entry,
                            MonotonicTime now) {
@@ -13,16 +27,16 @@
     if (found != this->rows.end()) this->MarkMissing(found->second, now);
     return;
   }
+  RegisteredUpstream next = *entry;
   if (found == this->rows.end()) {
-    this->rows.emplace(id, Row{*entry, std::nullopt});
+    SetColdUntil(next, nullptr, now);
+    this->rows.emplace(id, Row{std::move(next), std::nullopt});
     this->has_changed = true;
     return;
   }
-  // The remaining warm-up counts down in each record and is not a change.
-  RegisteredUpstream before = found->second.entry;
-  before.warm_up_left = entry->warm_up_left;
-  this->has_changed |= before != *entry;
-  found->second = Row{*entry, std::nullopt};
+  SetColdUntil(next, &found->second.entry, now);
+  this->has_changed |= found->second.entry != next;
+  found->second = Row{std::move(next), std::nullopt};
 }
 
 void UpstreamRegistry::Replace(const std::vector<RegisteredUpstream>& entries,
--- a/lib/daemon/ownership_controller_topics.cc
+++ b/lib/daemon/ownership_controller_topics.cc
@@ -62,11 +62,11 @@
   }
   auto entry = this->documents->ReadUpstream(record.key, *record.value);
   if (!entry) return true;
-  entry->warm_up_left = milliseconds(0);
-  const auto [known, is_new] =
-      this->relayed_entries.try_emplace(record.key, *entry);
+  const auto known = this->relayed_entries.find(record.key);
+  const bool is_new = known == this->relayed_entries.end();
+  SetColdUntil(*entry, is_new ? nullptr : &known->second, this->now);
   if (!is_new && known->second == *entry) return false;
-  known->second = std::move(*entry);
+  this->relayed_entries.insert_or_assign(record.key, std::move(*entry));
   return true;
 }
 
