upstream: send to cold upstreams in turns of the daemons

Cause: an upstream that warms up looks idle to dozens of daemons, and all choose it: 16 requests in one second were seen with 33 daemons, where 13.85 are tolerated. Change: WarmUpSchedule gives each daemon turns by its rank in the directory and the end of the warm-up; HasCapacity and TryProbe let nothing pass out of a turn.

--- a/include/bamboorack/upstream/load_balancer.h
+++ b/include/bamboorack/upstream/load_balancer.h
@@ -2,6 +2,7 @@
 #define BAMBOORACK_UPSTREAM_LOAD_BALANCER_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -12,6 +13,7 @@
 #include "bamboorack/core/leaving_upstreams.h"
 #include "bamboorack/core/time.h"
 #include "bamboorack/core/upstream_registry.h"
+#include "bamboorack/upstream/warm_up_schedule.h"
 
 namespace bamboorack::upstream {
 
@@ -44,6 +46,7 @@
 ///   service always keeps some upstreams in use.
 /// - An upstream says that it leaves, or asks for time: it gets no requests,
 ///   and those that cannot wait are not kept for it.
+/// - An upstream warms up: it gets requests only in turns of this daemon.
 /// - A service is at its limit: requests queue in the daemons, which can order
 ///   them by priority, and not at the upstreams.
 class LoadBalancer {
@@ -79,6 +82,20 @@
   std::optional<MonotonicTime> ServicePausedUntil(const ServiceName& service,
                                                   MonotonicTime now) const;
 
+  void SetWarmUpSchedule(WarmUpSchedule schedule);
+  /// Whether the upstream warms up and must be protected.
+  bool IsCold(const UpstreamId& id, MonotonicTime now) const;
+  /// Returns when the upstream may get a request if `ahead` others are sent
+  /// before it: `now` unless it is cold.
+  MonotonicTime NextStart(const UpstreamId& id, std::size_t ahead,
+                          MonotonicTime now) const;
+  /// Returns when the first upstream of a service may get a request if `ahead`
+  /// others are spread evenly over them before it. Nothing if one wants
+  /// requests now, or if none is cold.
+  std::optional<MonotonicTime> NextServiceStart(const ServiceName& service,
+                                                std::size_t ahead,
+                                                MonotonicTime now) const;
+
   /// Returns what the registry says of an upstream that it lists or that has
   /// requests in flight, or null.
   const RegisteredUpstream* Entry(const UpstreamId& id) const;
@@ -132,6 +149,8 @@
     std::uint32_t peer_in_flight = 0;
     MonotonicTime last_sent;
     MonotonicTime paused_until;
+    /// When this daemon last sent it a request while it was cold.
+    std::optional<MonotonicTime> turn_used;
     /// Smoothed latency; 0 before the first answer.
     std::chrono::nanoseconds latency{0};
     /// Smoothed; 0 before the first answer.
@@ -165,7 +184,7 @@
   /// Returns a number from 1 to 1 + `kScoreJitter`.
   double DrawJitter();
   double LimitOf(const UpstreamState& state, MonotonicTime now) const;
-  double Score(const UpstreamState& state) const;
+  double Score(const UpstreamState& state, MonotonicTime now) const;
   void LowerLimit(UpstreamState& state, MonotonicTime now);
   void Eject(UpstreamState& state, MonotonicTime now);
   double EjectedShare(const std::vector<UpstreamState*>& candidates,
@@ -178,6 +197,7 @@
   /// does not walk those of other services. Points into `states`.
   std::map<ServiceName, std::vector<UpstreamState*>> by_service;
   LeavingUpstreams leaving;
+  WarmUpSchedule warm_up;
   /// Reports that are not too old. The cost of a choice must not grow with
   /// their number, so they are summed up when they come and go.
   std::map<DaemonId, PeerLoad> peers;
--- a/lib/upstream/load_balancer.cc
+++ b/lib/upstream/load_balancer.cc
@@ -177,8 +177,10 @@
 void LoadBalancer::OnSent(const UpstreamId& id, MonotonicTime now) {
   const auto found = this->states.find(id);
   if (found == this->states.end()) return;
-  ++found->second.in_flight;
-  found->second.last_sent = now;
+  UpstreamState& state = found->second;
+  ++state.in_flight;
+  state.last_sent = now;
+  if (this->warm_up.IsCold(state.entry, now)) state.turn_used = now;
 }
 
 void LoadBalancer::OnEnded(const UpstreamId& id, UpstreamOutcome outcome,
@@ -272,7 +274,8 @@
   return std::min(grown, state.entry.slots + kMaxQueuedAtUpstream);
 }
 
-double LoadBalancer::Score(const UpstreamState& state) const {
+double LoadBalancer::Score(const UpstreamState& state,
+                           MonotonicTime now) const {
   const double ratio = state.latency_ratio == 0 ? 1 : state.latency_ratio;
   const double slots = state.entry.slots;
   const double total_in_flight = TotalInFlight(state);
@@ -283,7 +286,7 @@
   const double domain_penalty =
       state.entry.failure_domain == this->domain ? 1 : kOtherDomainPenalty;
   const double success_share = 1 - std::min(state.failure_share, 0.9);
-  const bool is_cold = state.entry.warm_up_left.count() > 0;
+  const bool is_cold = now < state.entry.cold_until;
   return ratio * queueing * usage * domain_penalty * (is_cold ? 1.5 : 1) /
          (success_share * success_share);
 }
@@ -313,6 +316,7 @@
 bool LoadBalancer::HasCapacity(const UpstreamState& state,
                                MonotonicTime now) const {
   if (now < state.paused_until) return false;
+  if (!this->warm_up.MaySend(state.entry, state.turn_used, now)) return false;
   const double limit = this->LimitOf(state, now);
   const auto daemons = static_cast<double>(this->peers.size() + 1);
   if (TotalInFlight(state) + 1 <= limit) return true;
@@ -353,7 +357,7 @@
     if (state->is_replaced || tried.contains(state->entry.run.id)) continue;
     if (!ignores_ejections && now < state->ejected_until) continue;
     if (!this->HasCapacity(*state, now)) continue;
-    const double score = this->Score(*state) * this->DrawJitter();
+    const double score = this->Score(*state, now) * this->DrawJitter();
     if (best != nullptr && best_score <= score) continue;
     best = state;
     best_score = score;
@@ -402,6 +406,10 @@
   if (found == this->states.end() || found->second.is_replaced) return false;
   if (now < found->second.next_probe) return false;
   if (now < found->second.paused_until) return false;
+  if (!this->warm_up.MaySend(found->second.entry, found->second.turn_used,
+                             now)) {
+    return false;
+  }
   found->second.next_probe = now + kProbeInterval;
   return true;
 }
