daemon: refuse or hold back requests for cold upstreams, move their keys

Change: the router takes its turns from the directory, refuses at once with a true Retry-After what no turn and no end of a warm-up can serve in time, and lets the rest wait. The fixture of ownership_controller_test moves to a header.

--- a/include/bamboorack/daemon/gateway_router.h
+++ b/include/bamboorack/daemon/gateway_router.h
@@ -151,6 +151,16 @@
   /// cannot wait for that. Returns whether it did.
   bool RefuseIfPausedTooLong(PendingRequest& pending,
                              MonotonicTime paused_until);
+  /// Gives the load balancer the turns of this daemon at upstreams that warm
+  /// up.
+  void UpdateWarmUpSchedule();
+  /// Schedules the requests again that wait for an upstream that has become
+  /// cold.
+  void RescheduleColdQueues();
+  /// Refuses a request whose upstreams are cold, if no turn of this daemon
+  /// comes and no warm-up ends in time; otherwise makes one that waits for a
+  /// single upstream wait until then. Returns whether it was refused.
+  bool RefuseIfColdTooLong(PendingRequest& pending, const QueueKey& key);
   /// Returns a Retry-After of at least `wait`.
   std::chrono::milliseconds RetryAfterPause(
       const PendingRequest& pending, std::chrono::nanoseconds wait) const;
--- a/include/bamboorack/daemon/ownership_controller.h
+++ b/include/bamboorack/daemon/ownership_controller.h
@@ -96,6 +96,12 @@
       MonotonicTime sent);
   void OnDaemonsRead(const tl::expected<log_service::KeyedRecords,
                                         log_service::ReadFailure>& read);
+  /// Takes the daemons in the directory and publishes them, ordered by id, if
+  /// the read before this one found the same.
+  void SetDirectory(std::vector<DaemonId> daemons);
+  /// Whether the directory must be read early, because it changed at the last
+  /// read and a service needs it.
+  bool IsDirectoryUnsettled() const;
   void OnLoadReport(const peer::LoadReport& report);
   /// Applies that runs of upstreams said that they leave.
   void MarkDepartures(const std::vector<peer::UpstreamDeparture>& departures);
@@ -125,6 +131,15 @@
   void CheckReachability();
   void PlanMoves();
   std::vector<upstream::RangeCandidate> Candidates(const ServiceName& service);
+  /// Whether the upstream warms up for so long that its keys should be served
+  /// by others meanwhile.
+  bool IsTooColdForKeys(const RegisteredUpstream& entry) const;
+  /// Whether the service of an upstream limits requests during the warm-up.
+  bool HasWarmUpRate(const RegisteredUpstream& entry) const;
+  /// Logs upstreams that have become cold.
+  void LogColdUpstreams();
+  /// Logs upstreams that have become warm.
+  void LogWarmUpstreams();
   double RelativeSpeed(const UpstreamId& id) const;
   void PublishOwners();
   /// Merges the owners in a leader beat. Returns whether they were newer than
@@ -154,6 +169,8 @@
   std::map<ServiceName, upstream::KeyLoad> key_loads;
   std::map<peer::UpstreamHash, std::map<DaemonId, double>> latency_ratios;
   std::set<peer::UpstreamDeparture> known_departures;
+  /// When the warm-up of each cold upstream ends.
+  std::map<UpstreamRun, MonotonicTime> cold_upstreams;
   bool has_new_tables = false;
 
   bool is_store_busy = false;
@@ -190,6 +207,9 @@
   bool is_registered = false;
   MonotonicTime next_directory_call;
   std::size_t known_daemons = 0;
+  /// The daemons that the last read of the directory found.
+  std::vector<DaemonId> directory;
+  MonotonicTime directory_read_at;
   std::optional<log_service::Topic> store_call;
 
   std::map<log_service::Topic, bool> store_contact;
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -29,6 +29,9 @@
 constexpr milliseconds kNoStateRetryAfter{500};
 // Another daemon can take the request immediately.
 constexpr milliseconds kStoppingRetryAfter{60};
+// A request to a cold upstream that waits longer for a connection is not sent,
+// since it would come in the turn of another daemon.
+constexpr milliseconds kMaxTurnDelay{250};
 constexpr milliseconds kExpiryCheckInterval{20};
 constexpr milliseconds kLoadReportInterval{100};
 // The report interval is multiplied by the number of other daemons divided by
@@ -90,10 +93,13 @@
   this->now = time;
   const bool is_new_state = this->tables.desired != new_tables.desired;
   const bool is_new_map = this->tables.owners != new_tables.owners;
+  const bool has_new_turns =
+      is_new_state || this->tables.daemons != new_tables.daemons;
   this->tables = new_tables;
   if (is_new_state && this->tables.desired) {
     this->routes = RouteTable(*this->tables.desired);
   }
+  if (has_new_turns) this->UpdateWarmUpSchedule();
   if (this->tables.upstreams) {
     this->load_balancer.SetUpstreams(*this->tables.upstreams, time);
     this->by_hash.clear();
@@ -102,6 +108,7 @@
     }
   }
   if (is_new_map) this->RescheduleWaiting();
+  this->RescheduleColdQueues();
   this->DrainAllQueues();
   return this->TakeActions();
 }
@@ -248,6 +255,7 @@
   const MonotonicTime paused_until = this->load_balancer.PausedUntil(owner->id);
   if (this->RefuseIfPausedTooLong(pending, paused_until)) return;
   pending.not_before = std::max(pending.not_before, paused_until);
+  if (this->RefuseIfColdTooLong(pending, {pending.service, owner->id})) return;
   // An ejected upstream gets probe requests only; all others are refused
   // instead of being queued for an upstream that does not answer.
   const UpstreamId id = owner->id;
@@ -285,6 +293,7 @@
     if (paused_until && this->RefuseIfPausedTooLong(pending, *paused_until)) {
       return;
     }
+    if (this->RefuseIfColdTooLong(pending, key)) return;
   }
   const nanoseconds average_latency = this->AverageLatency(pending.route);
   // Some requests take less time than the average, so half of it is enough to
@@ -333,6 +342,8 @@
   ++pending.attempts;
   pending.tried_upstreams.insert(id);
   this->handles_by_dispatch.emplace(pending.dispatch, pending.handle);
+  const bool is_cold = this->load_balancer.IsCold(id, this->now);
+  if (is_cold) this->metrics.Count("warm_up_turns_used");
   this->load_balancer.OnSent(id, this->now);
   upstream::Dispatch dispatch;
   dispatch.id = pending.dispatch;
@@ -341,7 +352,9 @@
     dispatch.endpoint = entry->endpoint;
     pending.upstream_life = entry->run.life;
   }
-  dispatch.send_before = pending.hard_deadline;
+  dispatch.send_before =
+      is_cold ? std::min(pending.hard_deadline, this->now + kMaxTurnDelay)
+              : pending.hard_deadline;
   dispatch.finish_before = pending.hard_deadline;
   dispatch.request = pending.request;
   dispatch.request.deadline = pending.hard_deadline + kAnswerTransitTime;
--- a/lib/daemon/gateway_router_endings.cc
+++ b/lib/daemon/gateway_router_endings.cc
@@ -32,8 +32,9 @@
   const nanoseconds needed = this->AverageLatency(pending.route) / 2;
   const MonotonicTime start =
       pending.is_sharded
-          ? std::max(this->now,
-                     this->load_balancer.PausedUntil(pending.upstream))
+          ? std::max(
+                this->load_balancer.NextStart(pending.upstream, 0, this->now),
+                this->load_balancer.PausedUntil(pending.upstream))
           : this->now;
   if (start + needed >= pending.hard_deadline) return false;
   if (this->budgets.at(pending.service).TryTake()) return true;
--- a/lib/daemon/ownership_controller.cc
+++ b/lib/daemon/ownership_controller.cc
@@ -68,6 +68,7 @@
       std::make_shared<const std::vector<RegisteredUpstream>>(
           std::move(entries));
   this->has_new_tables = true;
+  this->LogColdUpstreams();
   const bool is_announced =
       this->tables.owners &&
       this->tables.owners->version == this->announced_version;
@@ -205,6 +206,7 @@
 
 OwnershipActions OwnershipController::Tick(MonotonicTime time) {
   this->now = time;
+  this->LogWarmUpstreams();
   if (this->registry.Update(time)) this->PublishUpstreams();
   this->UpdateLeadership();
   this->CallStore();
@@ -358,14 +360,16 @@
 std::vector<upstream::RangeCandidate> OwnershipController::Candidates(
     const ServiceName& service) {
   std::vector<upstream::RangeCandidate> candidates;
+  std::vector<upstream::RangeCandidate> cold;
   if (!this->tables.upstreams) return candidates;
   for (const RegisteredUpstream& entry : *this->tables.upstreams) {
     if (entry.service != service || entry.is_draining) continue;
     if (this->lease_manager.IsUnreachable(entry.run, this->now)) continue;
-    candidates.push_back(
+    auto& suited = this->IsTooColdForKeys(entry) ? cold : candidates;
+    suited.push_back(
         {entry.run, entry.slots * this->RelativeSpeed(entry.run.id)});
   }
-  return candidates;
+  return candidates.empty() ? cold : candidates;
 }
 
 double OwnershipController::RelativeSpeed(const UpstreamId& id) const {
--- a/lib/daemon/ownership_controller_store.cc
+++ b/lib/daemon/ownership_controller_store.cc
@@ -125,11 +125,14 @@
     return;
   }
   peer::SetPeers set;
+  std::vector<DaemonId> daemons;
   for (const log_service::KeyedRecord& row : read->records) {
     if (!row.value) continue;
+    daemons.emplace_back(row.key);
     const auto endpoint = EndpointFromText(*row.value);
     if (endpoint) set.peers.push_back(*endpoint);
   }
+  this->SetDirectory(std::move(daemons));
   this->known_daemons = set.peers.size();
   this->next_directory_call =
       this->now + (this->known_daemons > 1 ? milliseconds(kDirectoryInterval)
@@ -198,7 +201,9 @@
 }
 
 void OwnershipController::UpdateDirectory() {
-  if (this->is_stopping || this->now < this->next_directory_call) return;
+  const bool is_due =
+      this->now >= this->next_directory_call || this->IsDirectoryUnsettled();
+  if (this->is_stopping || !is_due) return;
   this->is_store_busy = true;
   if (this->is_registered) {
     this->actions.emplace_back(
--- a/unittests/daemon/ownership_controller_test.cc
+++ b/unittests/daemon/ownership_controller_test.cc
@@ -11,155 +11,16 @@
 
 #include "bamboorack/core/metrics.h"
 #include "bamboorack/upstream/ownership_codec.h"
+#include "daemon/ownership_controller_fixture.h"
 
 namespace bamboorack::daemon {
 namespace {
 
-using log_service::KeyedAppend;
-using log_service::KeyedRecord;
-using log_service::KeyedRecords;
-using log_service::StoreCall;
-using log_service::StoreResult;
 using log_service::Topic;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// A minimal document format: `SERVICE` for an upstream's entry, `VERSION` for
-/// a desired state with one sharded service.
-class TestDocuments : public log_service::StateDocuments {
- public:
-  std::string DesiredStateKey() const override { return "state"; }
-  tl::expected<DesiredState, std::string> ReadDesiredState(
-      const std::string& text) const override {
-    if (text == "bad") return tl::make_unexpected(std::string("bad"));
-    DesiredState state;
-    state.version = ConfigVersion(std::stoull(text));
-    state.services = {{ServiceName("reader"), 100, true}};
-    return state;
-  }
-  tl::expected<RegisteredUpstream, std::string> ReadUpstream(
-      const std::string& key, const std::string& text) const override {
-    if (text == "bad") return tl::make_unexpected(std::string("bad"));
-    RegisteredUpstream entry;
-    entry.run = {UpstreamId(key), UpstreamLife(1)};
-    entry.service = ServiceName(text);
-    entry.endpoint = {"10.0.0.1", 80};
-    entry.slots = 4;
-    return entry;
-  }
-};
-
-/// The `OwnershipController` of a daemon; the test plays the log, the upstreams
-/// and the other daemons.
-struct Fixture {
-  void Collect(OwnershipActions actions) {
-    for (OwnershipAction& action : actions) {
-      if (auto* call = std::get_if<StoreCall>(&action)) {
-        this->store_calls.push_back(std::move(*call));
-      }
-      if (auto* tables_now = std::get_if<GatewayTables>(&action)) {
-        this->tables = *tables_now;
-      }
-      if (auto* call = std::get_if<upstream::ControlCall>(&action)) {
-        this->control_calls.push_back(*call);
-      }
-      if (auto* message = std::get_if<peer::ToGossip>(&action)) {
-        this->gossip.push_back(std::move(*message));
-      }
-      if (auto* event = std::get_if<ControlEvent>(&action)) {
-        this->events.push_back(std::move(*event));
-      }
-      if (auto* relay = std::get_if<log_service::TopicRelay>(&action)) {
-        this->relays.push_back(std::move(*relay));
-      }
-    }
-  }
-
-  void Update(Topic topic, std::vector<KeyedRecord> records,
-              bool is_complete = true) {
-    log_service::TopicUpdate update;
-    update.topic = topic;
-    update.at = this->now;
-    update.is_complete = is_complete;
-    update.end = LogOffset(7);
-    update.records = std::move(records);
-    this->Collect(this->controller.OnTopicUpdate(std::move(update), this->now));
-  }
-
-  void Answer(const StoreCall& call) {
-    StoreResult result;
-    result.sent = this->now;
-    if (const auto* read = std::get_if<log_service::ReadTopic>(&call.request)) {
-      result.topic = read->topic;
-      KeyedRecords all;
-      if (read->topic == Topic::kOwnership) {
-        all.end = this->log_end;
-        if (this->record) all.records.push_back({"owners", *this->record});
-      }
-      result.outcome =
-          tl::expected<KeyedRecords, log_service::ReadFailure>(all);
-    } else {
-      const auto& append = std::get<KeyedAppend>(call.request);
-      result.topic = append.topic;
-      if (append.topic == Topic::kOwnership) {
-        this->record = append.record.value;
-        ++this->log_end.value;
-      }
-      result.outcome = tl::expected<LogOffset, log_service::KeyedAppendFailure>(
-          this->log_end);
-    }
-    this->Collect(this->controller.OnStoreResult(std::move(result), this->now));
-  }
-
-  /// Advances the time in ticks of 50 ms. The log answers at once unless
-  /// `log_answers` is false; upstreams answer every control call.
-  void Run(milliseconds span, bool log_answers = true) {
-    const MonotonicTime end = this->now + span;
-    while (this->now < end) {
-      this->now += milliseconds(50);
-      this->Collect(this->controller.Tick(this->now));
-      const auto calls = std::exchange(this->store_calls, {});
-      for (const StoreCall& call : calls) {
-        if (log_answers) this->Answer(call);
-      }
-      const auto pending = std::exchange(this->control_calls, {});
-      for (const upstream::ControlCall& call : pending) {
-        this->sent.push_back(call);
-        upstream::ControlAnswer answer = upstream::RangeGrantAnswer{};
-        if (std::holds_alternative<upstream::RangeReleaseCall>(call.request)) {
-          answer = upstream::RangeReleaseAnswer{Handover("h")};
-        }
-        tl::expected<upstream::ControlAnswer, upstream::ControlError> outcome =
-            answer;
-        if (this->answer_status != 200) {
-          outcome = tl::make_unexpected(upstream::ControlError::kBadAnswer);
-        }
-        this->Collect(this->controller.OnControlResult(
-            {call.id, call.upstream, outcome, this->answer_status}, this->now));
-      }
-    }
-  }
-
-  MonotonicTime now{seconds(100)};
-  Metrics metrics;
-  OwnershipController controller{
-      {DaemonId("d0"), DaemonInstance("i0"), {"10.0.0.9", 1}},
-      {},
-      std::make_shared<const TestDocuments>(),
-      metrics,
-      now};
-  std::optional<std::string> record;
-  /// HTTP status of the upstreams' answers to control calls.
-  int answer_status = 200;
-  LogOffset log_end{0};
-  GatewayTables tables;
-  std::vector<StoreCall> store_calls;
-  std::vector<upstream::ControlCall> control_calls;
-  std::vector<upstream::ControlCall> sent;
-  std::vector<peer::ToGossip> gossip;
-  std::vector<ControlEvent> events;
-  std::vector<log_service::TopicRelay> relays;
-};
+using Fixture = OwnershipControllerFixture;
 
 SCENARIO("keys have no owner although upstreams are registered") {
   Fixture fixture;
