daemon, upstream: send waiting requests to the new owner; test the worst case

Cause: a request that waited for a cold owner went on waiting after its key had moved to a warm one. Change: the start at a cold upstream is kept apart from not_before and set anew when the request is scheduled. A test takes the worst ages of records and directories that lack one daemon.

--- a/include/bamboorack/daemon/gateway_router.h
+++ b/include/bamboorack/daemon/gateway_router.h
@@ -92,6 +92,8 @@
     MonotonicTime soft_deadline;
     MonotonicTime hard_deadline;
     MonotonicTime not_before;
+    /// When the request may be sent to the cold upstream that it waits for.
+    MonotonicTime turn_start;
     /// When a request that waits for its key to get an owner is refused.
     MonotonicTime owner_wait_deadline;
     std::uint32_t attempts = 0;
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -305,7 +305,7 @@
       pending.arrived_at,
       pending.soft_deadline - average_latency * 5 / 4,
       pending.hard_deadline - average_latency / 2,
-      pending.not_before};
+      std::max(pending.not_before, pending.turn_start)};
   if (is_new && !queue.CanStartInTime(entry, this->now)) {
     this->Refuse(pending, Reason::kDeadlineWouldPass,
                  "the line is longer than the time left",
--- a/lib/daemon/gateway_router_warm_up.cc
+++ b/lib/daemon/gateway_router_warm_up.cc
@@ -43,14 +43,14 @@
           ? this->load_balancer.NextStart(key.upstream, ahead, this->now)
           : this->load_balancer.NextServiceStart(key.service, ahead, this->now)
                 .value_or(this->now);
+  // A request that is scheduled again for the same start is counted once.
+  const bool is_new_start = start > pending.turn_start;
+  pending.turn_start = MonotonicTime{};
   if (start <= this->now) return false;
   const nanoseconds needed = this->AverageLatency(pending.route) / 2;
   if (start + needed < pending.hard_deadline) {
-    // A request that is scheduled again for the same start is counted once.
-    if (start > pending.not_before) this->metrics.Count("warm_up_waits");
-    if (has_single_upstream) {
-      pending.not_before = std::max(pending.not_before, start);
-    }
+    if (is_new_start) this->metrics.Count("warm_up_waits");
+    if (has_single_upstream) pending.turn_start = start;
     return false;
   }
   this->metrics.Count("warm_up_refusals");
--- a/lib/upstream/warm_up_schedule.cc
+++ b/lib/upstream/warm_up_schedule.cc
@@ -69,11 +69,9 @@
   const double cycles =
       static_cast<double>(this->place->rank) / count + RotationOf(entry.run);
   const Seconds last_offset = interval * (cycles - std::floor(cycles));
-  Turns turns;
-  turns.interval = std::chrono::ceil<nanoseconds>(interval);
-  turns.length = std::min<nanoseconds>(kTurnLength, turns.interval / 2);
-  turns.last_offset = std::chrono::duration_cast<nanoseconds>(last_offset);
-  return turns;
+  const auto spacing = std::chrono::ceil<nanoseconds>(interval);
+  return Turns{spacing, std::min<nanoseconds>(kTurnLength, spacing / 2),
+               std::chrono::duration_cast<nanoseconds>(last_offset)};
 }
 
 bool WarmUpSchedule::MaySend(const RegisteredUpstream& entry,
--- a/unittests/daemon/gateway_router_warm_up_test.cc
+++ b/unittests/daemon/gateway_router_warm_up_test.cc
@@ -80,6 +80,24 @@
       CHECK(fixture.metrics.CountOf("warm_up_waits") >= 2);
     }
   }
+  GIVEN("a request that waits for the end of a warm-up") {
+    fixture.MakeCold("reader", milliseconds(600));
+    for (std::uint64_t i = 0; i < 2; ++i) fixture.Send(i, "/read/1", "17");
+    const std::size_t sent = fixture.dispatches.size();
+    REQUIRE(fixture.router.WaitingCount() > 0);
+    WHEN("its key moves to a warm upstream") {
+      fixture.upstreams[1].cold_until = MonotonicTime{};
+      fixture.owners.version.change = 2;
+      fixture.owners.services[ServiceName("reader")][0].owner =
+          fixture.upstreams[1].run;
+      fixture.Publish();
+      THEN("it is sent at once") {
+        CHECK(fixture.router.WaitingCount() == 0);
+        REQUIRE(fixture.dispatches.size() > sent);
+        CHECK(fixture.dispatches.back().upstream.id == UpstreamId("r1"));
+      }
+    }
+  }
   GIVEN("requests that wait for a warm upstream") {
     fixture.MakeCold("reader", milliseconds(0));
     for (std::uint64_t i = 0; i < 20; ++i) fixture.Send(i, "/read/1", "17");
--- a/unittests/upstream/warm_up_schedule_test.cc
+++ b/unittests/upstream/warm_up_schedule_test.cc
@@ -24,6 +24,8 @@
 /// The youngest and the oldest that a record is when it is read.
 constexpr milliseconds kMinLag{600};
 constexpr milliseconds kMaxLag{1'700};
+/// How long a request may wait for a connection to a cold upstream.
+constexpr milliseconds kMaxWaitForConnection{250};
 
 DesiredState StateWithRate(std::optional<double> rate) {
   DesiredState state;
@@ -144,6 +146,69 @@
   std::vector<MonotonicTime> sends;
 };
 
+/// When a daemon may send to a cold upstream, by its own view of the directory.
+std::vector<MonotonicTime> TurnsOf(const WarmUpSchedule& schedule,
+                                   MonotonicTime cold_until) {
+  const RegisteredUpstream entry = ColdEntry(cold_until);
+  std::vector<MonotonicTime> turns;
+  MonotonicTime now = cold_until - seconds(12);
+  while (true) {
+    now = schedule.NextStart(entry, std::nullopt, 0, now);
+    if (now >= cold_until) return turns;
+    turns.push_back(now);
+    now += WarmUpSchedule::kTurnLength;
+  }
+}
+
+/// The most requests in any second if each daemon reads the record at the worst
+/// moment and its request is sent as late as allowed. The lists of some daemons
+/// may lack `lacking`.
+std::size_t WorstSecond(double rate, const std::vector<DaemonId>& daemons,
+                        const std::optional<DaemonId>& lacking) {
+  constexpr milliseconds kStep{10};
+  const MonotonicTime cold_until = kStart + seconds(20);
+  auto shorter = daemons;
+  if (lacking) std::erase(shorter, *lacking);
+  std::vector<std::vector<MonotonicTime>> turns;
+  for (const DaemonId& daemon : daemons) {
+    const DesiredState state = StateWithRate(rate);
+    turns.push_back(
+        TurnsOf(WarmUpSchedule(state, daemons, daemon), cold_until));
+    const auto others =
+        TurnsOf(WarmUpSchedule(state, shorter, daemon), cold_until);
+    turns.back().insert(turns.back().end(), others.begin(), others.end());
+  }
+  std::size_t worst = 0;
+  for (auto at = cold_until - seconds(6); at < cold_until; at += kStep) {
+    const auto hits = [at](MonotonicTime turn) {
+      return turn + kMinLag < at + seconds(1) &&
+             turn + kMaxLag + WarmUpSchedule::kTurnLength +
+                     kMaxWaitForConnection >=
+                 at;
+    };
+    const auto senders = std::count_if(
+        turns.begin(), turns.end(), [&hits](const auto& own_turns) {
+          return std::any_of(own_turns.begin(), own_turns.end(), hits);
+        });
+    worst = std::max(worst, static_cast<std::size_t>(senders));
+  }
+  return worst;
+}
+
+SCENARIO("the records and directories of daemons differ as they can at worst") {
+  for (const std::size_t count : {33, 34, 60, 120, 300}) {
+    const auto daemons = Directory(count);
+    DYNAMIC_SECTION(count << " daemons at 3.9 requests per second") {
+      CHECK(WorstSecond(3.9, daemons, std::nullopt) <= 11);
+      CHECK(WorstSecond(3.9, daemons, daemons.front()) <= 13);
+      CHECK(WorstSecond(3.9, daemons, daemons[count / 2]) <= 13);
+    }
+    DYNAMIC_SECTION(count << " daemons at 30 requests per second") {
+      CHECK(WorstSecond(30, daemons, daemons.front()) <= 53);
+    }
+  }
+}
+
 SCENARIO("all daemons together overload an upstream that warms up") {
   GIVEN(
       "daemons that read its record at different times, hear nothing of "
