daemon: keep keys at cold upstreams if few are warm

Cause: upstreams that start together become warm one after the other; the leader would have moved all keys to the first of them. Change: cold upstreams are left out only if the warm ones have a quarter of the service's capacity.

--- a/include/bamboorack/daemon/ownership_controller.h
+++ b/include/bamboorack/daemon/ownership_controller.h
@@ -134,6 +134,10 @@
   /// Whether the upstream warms up for so long that its keys should be served
   /// by others meanwhile.
   bool IsTooColdForKeys(const RegisteredUpstream& entry) const;
+  /// Adds the cold upstreams of a service to the warm ones unless these have
+  /// enough capacity to take over the keys of the cold ones.
+  static void KeepColdIfMost(std::vector<upstream::RangeCandidate>& warm,
+                             const std::vector<upstream::RangeCandidate>& cold);
   /// Whether the service of an upstream limits requests during the warm-up.
   bool HasWarmUpRate(const RegisteredUpstream& entry) const;
   /// Logs upstreams that have become cold.
--- a/lib/daemon/ownership_controller.cc
+++ b/lib/daemon/ownership_controller.cc
@@ -369,7 +369,8 @@
     suited.push_back(
         {entry.run, entry.slots * this->RelativeSpeed(entry.run.id)});
   }
-  return candidates.empty() ? cold : candidates;
+  this->KeepColdIfMost(candidates, cold);
+  return candidates;
 }
 
 double OwnershipController::RelativeSpeed(const UpstreamId& id) const {
--- a/lib/daemon/ownership_controller_warm_up.cc
+++ b/lib/daemon/ownership_controller_warm_up.cc
@@ -2,6 +2,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "bamboorack/core/text_of.h"
 #include "bamboorack/daemon/ownership_controller.h"
@@ -17,10 +18,22 @@
 // A move and its return take longer than this, so keys stay where they are for
 // the rest of a warm-up.
 constexpr milliseconds kMinWarmUpForMove{700};
+// Warm upstreams with a smaller share of a service's capacity do not get the
+// keys of the cold ones. Upstreams that start together become warm one after
+// the other, and the first one would get all keys.
+constexpr double kMinWarmShare = 0.25;
 // Daemons that start together register within this time. Turns that were
 // derived from a directory without some of them would follow too fast.
 constexpr std::chrono::seconds kDirectorySettleTime{2};
 
+double CapacityOf(const std::vector<upstream::RangeCandidate>& candidates) {
+  double sum = 0;
+  for (const upstream::RangeCandidate& candidate : candidates) {
+    sum += candidate.capacity;
+  }
+  return sum;
+}
+
 }  // namespace
 
 bool OwnershipController::HasWarmUpRate(const RegisteredUpstream& entry) const {
@@ -35,6 +48,15 @@
          this->HasWarmUpRate(entry);
 }
 
+void OwnershipController::KeepColdIfMost(
+    std::vector<upstream::RangeCandidate>& warm,
+    const std::vector<upstream::RangeCandidate>& cold) {
+  const double warm_capacity = CapacityOf(warm);
+  const double all_capacity = warm_capacity + CapacityOf(cold);
+  if (warm_capacity >= all_capacity * kMinWarmShare) return;
+  warm.insert(warm.end(), cold.begin(), cold.end());
+}
+
 void OwnershipController::LogColdUpstreams() {
   for (const RegisteredUpstream& entry : *this->tables.upstreams) {
     if (entry.cold_until <= this->now || !this->HasWarmUpRate(entry)) continue;
--- a/unittests/daemon/ownership_warm_up_test.cc
+++ b/unittests/daemon/ownership_warm_up_test.cc
@@ -70,6 +70,18 @@
       CHECK(OwnsKeys(fixture, "b"));
     }
   }
+  GIVEN("five upstreams of which one is warm before the others") {
+    fixture.Update(Topic::kUpstreams, {{"a", "reader 9000"},
+                                       {"b", "reader 9000"},
+                                       {"c", "reader 9000"},
+                                       {"d", "reader 9000"},
+                                       {"e", "reader"}});
+    fixture.Run(seconds(3));
+    THEN("it does not get the keys of all") {
+      CHECK(OwnsKeys(fixture, "a"));
+      CHECK(OwnsKeys(fixture, "e"));
+    }
+  }
   GIVEN("an owner that becomes cold in the middle of its life") {
     fixture.Update(Topic::kUpstreams, {{"a", "reader"}, {"b", "reader"}});
     fixture.Run(seconds(3));
