--- a/include/bamboorack/daemon/ownership_controller.h
+++ b/include/bamboorack/daemon/ownership_controller.h
@@ -101,6 +101,12 @@
       MonotonicTime sent);
   void OnDaemonsRead(const tl::expected<log_service::KeyedRecords,
                                         log_service::ReadFailure>& read);
+  /// Takes the daemons in the directory and publishes them, ordered by id, if
+  /// the read before this one found the same.
+  void SetDirectory(std::vector<DaemonId> daemons);
+  /// Whether the directory must be read early, because it changed at the last
+  /// read and a service needs it.
+  bool IsDirectoryUnsettled() const;
   void OnLoadReport(const peer::LoadReport& report);
   /// Applies that runs of upstreams said that they leave.
   void MarkDepartures(const std::vector<peer::UpstreamDeparture>& departures);
@@ -136,6 +142,19 @@
   /// the leader knows it.
   void ReportEvacuations();
   void ForgetEvacuationProgress();
+  /// Whether the upstream warms up for so long that its keys should be served
+  /// by others meanwhile.
+  bool IsTooColdForKeys(const RegisteredUpstream& entry) const;
+  /// Adds the cold upstreams of a service to the warm ones unless these have
+  /// enough capacity to take over the keys of the cold ones.
+  static void KeepColdIfMost(std::vector<upstream::RangeCandidate>& warm,
+                             const std::vector<upstream::RangeCandidate>& cold);
+  /// Whether the service of an upstream limits requests during the warm-up.
+  bool HasWarmUpRate(const RegisteredUpstream& entry) const;
+  /// Logs upstreams that have become cold.
+  void LogColdUpstreams();
+  /// Logs upstreams that have become warm.
+  void LogWarmUpstreams();
   double RelativeSpeed(const UpstreamId& id) const;
   void PublishOwners();
   /// Merges the owners in a leader beat. Returns whether they were newer than
@@ -168,6 +187,8 @@
   Evacuations evacuations;
   /// As last reported by this daemon as the leader.
   std::map<FailureDomain, std::size_t> evacuated_ranges;
+  /// When the warm-up of each cold upstream ends.
+  std::map<UpstreamRun, MonotonicTime> cold_upstreams;
   bool has_new_tables = false;
 
   bool is_store_busy = false;
@@ -204,6 +225,9 @@
   bool is_registered = false;
   MonotonicTime next_directory_call;
   std::size_t known_daemons = 0;
+  /// The daemons that the last read of the directory found.
+  std::vector<DaemonId> directory;
+  MonotonicTime directory_read_at;
   std::optional<log_service::Topic> store_call;
 
   std::map<log_service::Topic, bool> store_contact;
--- a/include/bamboorack/upstream/load_balancer.h
+++ b/include/bamboorack/upstream/load_balancer.h
@@ -2,6 +2,7 @@
 #define BAMBOORACK_UPSTREAM_LOAD_BALANCER_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -14,6 +15,7 @@
 #include "bamboorack/core/time.h"
 #include "bamboorack/core/upstream_registry.h"
 #include "bamboorack/upstream/burst_limit.h"
+#include "bamboorack/upstream/warm_up_schedule.h"
 
 namespace bamboorack::upstream {
 
@@ -50,6 +52,7 @@
 ///   and those that cannot wait are not kept for it.
 /// - The operator evacuates a failure domain: its upstreams get no requests,
 ///   those for keys that they still hold excepted until a deadline.
+/// - An upstream warms up: it gets requests only in turns of this daemon.
 /// - A service is at its limit: requests queue in the daemons, which can order
 ///   them by priority, and not at the upstreams.
 class LoadBalancer {
@@ -92,6 +95,20 @@
   std::optional<MonotonicTime> ServicePausedUntil(const ServiceName& service,
                                                   MonotonicTime now) const;
 
+  void SetWarmUpSchedule(WarmUpSchedule schedule);
+  /// Whether the upstream warms up and must be protected.
+  bool IsCold(const UpstreamId& id, MonotonicTime now) const;
+  /// Returns when the upstream may get a request if `ahead` others are sent
+  /// before it: `now` unless it is cold.
+  MonotonicTime NextStart(const UpstreamId& id, std::size_t ahead,
+                          MonotonicTime now) const;
+  /// Returns when the first upstream of a service may get a request if `ahead`
+  /// others are spread evenly over them before it. Nothing if one wants
+  /// requests now, or if none is cold.
+  std::optional<MonotonicTime> NextServiceStart(const ServiceName& service,
+                                                std::size_t ahead,
+                                                MonotonicTime now) const;
+
   /// Returns what the registry says of an upstream that it lists or that has
   /// requests in flight, or null.
   const RegisteredUpstream* Entry(const UpstreamId& id) const;
@@ -153,6 +170,8 @@
     MonotonicTime last_sent;
     BurstLimit burst;
     MonotonicTime paused_until;
+    /// When this daemon last sent it a request while it was cold.
+    std::optional<MonotonicTime> turn_used;
     /// Smoothed latency; 0 before the first answer.
     std::chrono::nanoseconds latency{0};
     /// Smoothed; 0 before the first answer.
@@ -187,7 +206,7 @@
   /// Returns a number from 1 to 1 + `kScoreJitter`.
   double DrawJitter();
   double LimitOf(const UpstreamState& state, MonotonicTime now) const;
-  double Score(const UpstreamState& state) const;
+  double Score(const UpstreamState& state, MonotonicTime now) const;
   void LowerLimit(UpstreamState& state, MonotonicTime now);
   void Eject(UpstreamState& state, MonotonicTime now);
   double EjectedShare(const std::vector<UpstreamState*>& candidates,
@@ -205,6 +224,7 @@
   /// evacuation.
   std::set<ServiceName> evacuated_services;
   LeavingUpstreams leaving;
+  WarmUpSchedule warm_up;
   /// Reports that are not too old. The cost of a choice must not grow with
   /// their number, so they are summed up when they come and go.
   std::map<DaemonId, PeerLoad> peers;
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -29,6 +29,9 @@
 constexpr milliseconds kNoStateRetryAfter{500};
 // Another daemon can take the request immediately.
 constexpr milliseconds kStoppingRetryAfter{60};
+// A request to a cold upstream that waits longer for a connection is not sent,
+// since it would come in the turn of another daemon.
+constexpr milliseconds kMaxTurnDelay{250};
 constexpr milliseconds kExpiryCheckInterval{20};
 constexpr milliseconds kLoadReportInterval{100};
 // The report interval is multiplied by the number of other daemons divided by
@@ -92,11 +95,14 @@
   const bool is_new_map = this->tables.owners != new_tables.owners;
   const bool is_new_evacuation =
       this->tables.evacuated_domains != new_tables.evacuated_domains;
+  const bool has_new_turns =
+      is_new_state || this->tables.daemons != new_tables.daemons;
   this->tables = new_tables;
   if (is_new_state && this->tables.desired) {
     this->routes = RouteTable(*this->tables.desired);
   }
   if (is_new_evacuation) this->ApplyEvacuations();
+  if (has_new_turns) this->UpdateWarmUpSchedule();
   if (this->tables.upstreams) {
     this->load_balancer.SetUpstreams(*this->tables.upstreams, time);
     this->by_hash.clear();
@@ -105,6 +111,7 @@
     }
   }
   if (is_new_map || is_new_evacuation) this->RescheduleWaiting();
+  this->RescheduleColdQueues();
   this->DrainAllQueues();
   return this->TakeActions();
 }
@@ -252,6 +259,7 @@
   const MonotonicTime paused_until = this->load_balancer.PausedUntil(owner->id);
   if (this->RefuseIfPausedTooLong(pending, paused_until)) return;
   pending.not_before = std::max(pending.not_before, paused_until);
+  if (this->RefuseIfColdTooLong(pending, {pending.service, owner->id})) return;
   // An ejected upstream gets probe requests only; all others are refused
   // instead of being queued for an upstream that does not answer.
   const UpstreamId id = owner->id;
@@ -289,6 +297,7 @@
     if (paused_until && this->RefuseIfPausedTooLong(pending, *paused_until)) {
       return;
     }
+    if (this->RefuseIfColdTooLong(pending, key)) return;
   }
   const nanoseconds average_latency = this->AverageLatency(pending.route);
   // Some requests take less time than the average, so half of it is enough to
@@ -300,7 +309,7 @@
       pending.arrived_at,
       pending.soft_deadline - average_latency * 5 / 4,
       pending.hard_deadline - average_latency / 2,
-      pending.not_before};
+      std::max(pending.not_before, pending.turn_start)};
   if (is_new && !queue.CanStartInTime(entry, this->now)) {
     this->Refuse(pending, Reason::kDeadlineWouldPass,
                  "the line is longer than the time left",
@@ -337,6 +346,8 @@
   ++pending.attempts;
   pending.tried_upstreams.insert(id);
   this->handles_by_dispatch.emplace(pending.dispatch, pending.handle);
+  const bool is_cold = this->load_balancer.IsCold(id, this->now);
+  if (is_cold) this->metrics.Count("warm_up_turns_used");
   this->load_balancer.OnSent(id, this->now);
   upstream::Dispatch dispatch;
   dispatch.id = pending.dispatch;
@@ -347,6 +358,10 @@
   }
   dispatch.send_before =
       std::min(pending.hard_deadline, this->load_balancer.LatestSend(id));
+  if (is_cold) {
+    dispatch.send_before =
+        std::min(dispatch.send_before, this->now + kMaxTurnDelay);
+  }
   dispatch.finish_before = pending.hard_deadline;
   dispatch.request = pending.request;
   dispatch.request.deadline = pending.hard_deadline + kAnswerTransitTime;
--- a/lib/daemon/ownership_controller.cc
+++ b/lib/daemon/ownership_controller.cc
@@ -69,6 +69,7 @@
       std::make_shared<const std::vector<RegisteredUpstream>>(
           std::move(entries));
   this->has_new_tables = true;
+  this->LogColdUpstreams();
   const bool is_announced =
       this->tables.owners &&
       this->tables.owners->version == this->announced_version;
@@ -206,6 +207,7 @@
 
 OwnershipActions OwnershipController::Tick(MonotonicTime time) {
   this->now = time;
+  this->LogWarmUpstreams();
   if (this->registry.Update(time)) this->PublishUpstreams();
   this->UpdateLeadership();
   this->CallStore();
@@ -361,14 +363,17 @@
 std::vector<upstream::RangeCandidate> OwnershipController::Candidates(
     const ServiceName& service) {
   std::vector<upstream::RangeCandidate> candidates;
+  std::vector<upstream::RangeCandidate> cold;
   if (!this->tables.upstreams) return candidates;
   for (const RegisteredUpstream& entry : *this->tables.upstreams) {
     if (entry.service != service || entry.is_draining) continue;
     if (this->evacuations.Contains(entry.failure_domain)) continue;
     if (this->lease_manager.IsUnreachable(entry.run, this->now)) continue;
-    candidates.push_back(
+    auto& suited = this->IsTooColdForKeys(entry) ? cold : candidates;
+    suited.push_back(
         {entry.run, entry.slots * this->RelativeSpeed(entry.run.id)});
   }
+  this->KeepColdIfMost(candidates, cold);
   return candidates;
 }
 
--- a/unittests/daemon/ownership_controller_fixture.h
+++ b/unittests/daemon/ownership_controller_fixture.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "bamboorack/core/metrics.h"
@@ -15,9 +16,10 @@
 
 namespace bamboorack::daemon {
 
-/// A minimal document format: `SERVICE` or `SERVICE@DOMAIN` for an upstream's
-/// entry, `VERSION` for a desired state with one sharded service, and the key
-/// `evacuate DOMAIN` for an order to evacuate.
+/// A minimal document format: `SERVICE`, `SERVICE@DOMAIN` or
+/// `SERVICE MILLISECONDS` (of warm-up) for an upstream's entry, `VERSION` for a
+/// desired state with one sharded service, `VERSION RATE` if it limits requests
+/// during a warm-up, and the key `evacuate DOMAIN` for an order to evacuate.
 class TestDocuments : public log_service::StateDocuments {
  public:
   std::string DesiredStateKey() const override { return "state"; }
@@ -27,6 +29,10 @@
     DesiredState state;
     state.version = ConfigVersion(std::stoull(text));
     state.services = {{ServiceName("reader"), 100, true}};
+    const std::size_t space = text.find(' ');
+    if (space != std::string::npos) {
+      state.services[0].warm_up_request_rate = std::stod(text.substr(space));
+    }
     return state;
   }
   tl::expected<RegisteredUpstream, std::string> ReadUpstream(
@@ -34,10 +40,13 @@
     if (text == "bad") return tl::make_unexpected(std::string("bad"));
     RegisteredUpstream entry;
     entry.run = {UpstreamId(key), UpstreamLife(1)};
-    const std::size_t at = text.find('@');
-    entry.service = ServiceName(text.substr(0, at));
-    if (at != std::string::npos) {
-      entry.failure_domain = FailureDomain(text.substr(at + 1));
+    const std::size_t end = text.find_first_of("@ ");
+    entry.service = ServiceName(text.substr(0, end));
+    if (end != std::string::npos && text[end] == '@') {
+      entry.failure_domain = FailureDomain(text.substr(end + 1));
+    } else if (end != std::string::npos) {
+      entry.warm_up_left =
+          std::chrono::milliseconds(std::stoll(text.substr(end)));
     }
     entry.endpoint = {"10.0.0.1", 80};
     entry.slots = 4;
@@ -102,6 +111,11 @@
         all.end = this->log_end;
         if (this->record) all.records.push_back({"owners", *this->record});
       }
+      if (read->topic == log_service::Topic::kDaemons) {
+        for (const std::string& daemon : this->daemons) {
+          all.records.push_back({daemon, "10.0.0.9:1"});
+        }
+      }
       result.outcome =
           tl::expected<log_service::KeyedRecords, log_service::ReadFailure>(
               all);
@@ -156,6 +170,8 @@
       metrics,
       now};
   std::optional<std::string> record;
+  /// The directory of daemons in the log.
+  std::vector<std::string> daemons;
   /// HTTP status of the upstreams' answers to control calls.
   int answer_status = 200;
   LogOffset log_end{0};
--- a/unittests/daemon/ownership_controller_test.cc
+++ b/unittests/daemon/ownership_controller_test.cc
@@ -14,11 +14,12 @@
 namespace bamboorack::daemon {
 namespace {
 
-using Fixture = OwnershipControllerFixture;
 using log_service::Topic;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+using Fixture = OwnershipControllerFixture;
+
 SCENARIO("keys have no owner although upstreams are registered") {
   Fixture fixture;
   fixture.Update(Topic::kDesiredState, {{"state", "3"}});
