--- a/include/bamboorack/operator/diff.h
+++ b/include/bamboorack/operator/diff.h
@@ -1,6 +1,8 @@
 #ifndef BAMBOORACK_OPERATOR_DIFF_H_
 #define BAMBOORACK_OPERATOR_DIFF_H_
 
+#include <Poco/JSON/Array.h>
+
 #include <array>
 #include <cstdint>
 #include <string>
@@ -36,10 +38,14 @@
 /// in the order of paths. The order of list entries does not matter.
 std::vector<DiffEntry> Diff(const Inventory& before, const Inventory& after);
 std::vector<DiffEntry> Diff(const Rules& before, const Rules& after);
+/// The same for two JSON documents of any kind. Both must be valid JSON.
+std::vector<DiffEntry> DiffDocuments(const std::string& before,
+                                     const std::string& after);
 
 /// Returns one line for each entry.
 std::string ToText(const std::vector<DiffEntry>& entries);
 std::string ToJson(const std::vector<DiffEntry>& entries);
+Poco::JSON::Array::Ptr ToJsonArray(const std::vector<DiffEntry>& entries);
 
 }  // namespace bamboorack::operators
 
--- a/lib/operator/diff.cc
+++ b/lib/operator/diff.cc
@@ -16,9 +16,9 @@
 using Poco::Dynamic::Var;
 using Children = std::map<std::string, Var>;
 
-/// The members that name an entry of a list.
-constexpr std::array<const char*, 3> kNamingMembers = {"id", "name",
-                                                       "key_hash"};
+/// The members that name an entry of a list, the first that it has.
+constexpr std::array<const char*, 4> kNamingMembers = {"id", "name", "key_hash",
+                                                       "service"};
 
 bool IsObject(const Var& value) {
   return value.type() == typeid(Poco::JSON::Object::Ptr);
@@ -49,7 +49,13 @@
   }
   if (IsArray(value)) {
     for (const Var& entry : *value.extract<Poco::JSON::Array::Ptr>()) {
-      children.emplace("[" + NameOfEntry(entry) + "]", entry);
+      // Entries of one name are told apart by their order.
+      const std::string name = NameOfEntry(entry);
+      std::string unique = "[" + name + "]";
+      for (int i = 2; children.contains(unique); ++i) {
+        unique = "[" + name + "#" + std::to_string(i) + "]";
+      }
+      children.emplace(unique, entry);
     }
   }
   return children;
@@ -97,6 +103,8 @@
   }
 };
 
+}  // namespace
+
 std::vector<DiffEntry> DiffDocuments(const std::string& before,
                                      const std::string& after) {
   Comparison comparison;
@@ -106,8 +114,6 @@
   return std::move(comparison.entries);
 }
 
-}  // namespace
-
 std::vector<DiffEntry> Diff(const Inventory& before, const Inventory& after) {
   return DiffDocuments(bamboorack::ToJson(before), bamboorack::ToJson(after));
 }
@@ -128,7 +134,7 @@
   return text;
 }
 
-std::string ToJson(const std::vector<DiffEntry>& entries) {
+Poco::JSON::Array::Ptr ToJsonArray(const std::vector<DiffEntry>& entries) {
   Poco::JSON::Array::Ptr array = new Poco::JSON::Array();
   for (const DiffEntry& entry : entries) {
     Poco::JSON::Object::Ptr object =
@@ -139,7 +145,11 @@
     object->set("after", entry.after);
     array->add(object);
   }
-  return WriteDocument(array);
+  return array;
+}
+
+std::string ToJson(const std::vector<DiffEntry>& entries) {
+  return WriteDocument(ToJsonArray(entries));
 }
 
 }  // namespace bamboorack::operators
