tools, platform: bamboorack check FILE [--against FILE]

Checks an inventory, rules or the platform's desired state offline and shows what differs from the version in force, as text or JSON. Exit code 2 if there are errors.

--- a/tools/bamboorack/command.h
+++ b/tools/bamboorack/command.h
@@ -31,6 +31,7 @@
 
 /// Each function adds its commands to `app`. `context` outlives `app`.
 void AddDocumentCommands(CLI::App& app, CommandContext& context);
+void AddCheckCommands(CLI::App& app, CommandContext& context);
 void AddLogCommands(CLI::App& app, CommandContext& context);
 void AddPublishCommands(CLI::App& app, CommandContext& context);
 void AddDaemonCommands(CLI::App& app, CommandContext& context);
--- a/tools/bamboorack/main.cc
+++ b/tools/bamboorack/main.cc
@@ -17,6 +17,7 @@
   bamboorack::tools::AddEndpointOption(app, "--log", context.log,
                                        "the platform's log service");
   bamboorack::tools::AddDocumentCommands(app, context);
+  bamboorack::tools::AddCheckCommands(app, context);
   bamboorack::tools::AddPublishCommands(app, context);
   bamboorack::tools::AddLogCommands(app, context);
   bamboorack::tools::AddDaemonCommands(app, context);
