operator: let the path of a list entry be moved, NFC

clang-tidy (performance-no-automatic-move) refuses the const local. All new and changed sources pass clang-tidy; operator_tests and platform_tests pass.

--- a/lib/operator/document_lines.cc
+++ b/lib/operator/document_lines.cc
@@ -94,7 +94,7 @@
     if (this->open.empty()) return "";
     Container& container = this->open.back();
     if (!container.is_list) return container.member;
-    const std::string path =
+    std::string path =
         container.path + "[" + std::to_string(container.entries++) + "]";
     this->lines.emplace(path, this->position.Line());
     return path;
