upstream: place requests by the expected end

Cause: requests that look alike cost different amounts of work, and hosts are slowed for some hundred milliseconds by other programs. The latency score knows neither what a request is likely to cost nor what is left to do. The score is a strategy object: LatencyScore is the score as it was, ExpectedEnd the new one, chosen by RequestPlacement. Fixed aversions of each daemon spread the daemons.

--- a/include/bamboorack/upstream/load_balancer.h
+++ b/include/bamboorack/upstream/load_balancer.h
@@ -12,6 +12,9 @@
 #include "bamboorack/core/leaving_upstreams.h"
 #include "bamboorack/core/time.h"
 #include "bamboorack/core/upstream_registry.h"
+#include "bamboorack/upstream/placement_policy.h"
+#include "bamboorack/upstream/upstream_state.h"
+#include "bamboorack/upstream/work_left.h"
 
 namespace bamboorack::upstream {
 
@@ -93,14 +96,16 @@
   /// Whether all slots of the upstream are taken, so that a request sent now
   /// would queue there.
   bool IsContended(const UpstreamId& id, MonotonicTime now);
-  /// Returns the best upstream of a service that is below its limit, or
-  /// nothing. Skips `tried`.
-  std::optional<UpstreamId> Choose(const ServiceName& service,
-                                   const std::set<UpstreamId>& tried,
-                                   MonotonicTime now);
+  /// Returns the upstream of a service that is below its limit and best by
+  /// `policy`, or nothing. Skips `tried`.
+  std::optional<UpstreamId> Choose(
+      const ServiceName& service, const std::set<UpstreamId>& tried,
+      MonotonicTime now, const PlacementPolicy& policy = LatencyScore());
   /// Whether the service has an upstream that is not draining.
   bool HasActiveUpstream(const ServiceName& service) const;
 
+  /// Returns the work at an upstream, or null if the upstream is not known.
+  UpstreamWork* FindWork(const UpstreamId& id);
   std::uint32_t OwnInFlight(const UpstreamId& id) const;
   /// Smoothed ratio of the latency to the mean latency of similar requests: 1
   /// is average, 0 means no data.
@@ -121,40 +126,12 @@
   /// the time until the daemons learn that it is draining.
   static constexpr std::chrono::milliseconds kDrainGracePeriod{900};
 
-  struct UpstreamState {
-    RegisteredUpstream entry;
-    /// Another upstream has its address; cleared only by a new run.
-    bool is_replaced = false;
-    /// Set while the upstream is draining or no longer listed.
-    std::optional<MonotonicTime> draining_since;
-    std::uint32_t in_flight = 0;
-    /// Sum over the load reports that are in use.
-    std::uint32_t peer_in_flight = 0;
-    MonotonicTime last_sent;
-    MonotonicTime paused_until;
-    /// Smoothed latency; 0 before the first answer.
-    std::chrono::nanoseconds latency{0};
-    /// Smoothed; 0 before the first answer.
-    double latency_ratio = 0;
-    bool is_latency_ratio_updated = false;
-    /// Concurrency limit over all daemons, lowered by refusals.
-    double limit = 1;
-    MonotonicTime limit_updated;
-    /// Smoothed share of requests that failed.
-    double failure_share = 0;
-    int failures_in_a_row = 0;
-    MonotonicTime ejected_until;
-    int ejections = 0;
-    MonotonicTime next_probe;
-  };
-
   /// The last load report of another daemon.
   struct PeerLoad {
     std::map<UpstreamId, std::uint32_t> in_flight;
     MonotonicTime at;
   };
 
-  static double TotalInFlight(const UpstreamState& state);
   /// Adds a report to the sums of the upstreams, or takes it back.
   void AddPeerLoad(const PeerLoad& load);
   void SubtractPeerLoad(const PeerLoad& load);
@@ -162,16 +139,19 @@
   void DropOldReports(MonotonicTime now);
   void IndexByService();
   bool HasCapacity(const UpstreamState& state, MonotonicTime now) const;
-  /// Returns a number from 1 to 1 + `kScoreJitter`.
-  double DrawJitter();
+  /// Returns a number from 1 to 1 + `width`.
+  double DrawJitter(double width);
   double LimitOf(const UpstreamState& state, MonotonicTime now) const;
-  double Score(const UpstreamState& state) const;
   void LowerLimit(UpstreamState& state, MonotonicTime now);
   void Eject(UpstreamState& state, MonotonicTime now);
   double EjectedShare(const std::vector<UpstreamState*>& candidates,
                       MonotonicTime now) const;
 
+  /// Returns the aversion of this daemon to an upstream.
+  double AversionTo(const UpstreamId& id) const;
+
   const FailureDomain domain;
+  const std::uint64_t seed;
   std::uint64_t random_state;
   std::map<UpstreamId, UpstreamState> states;
   /// The upstreams of each service that are not draining, so that a choice
--- a/lib/upstream/load_balancer.cc
+++ b/lib/upstream/load_balancer.cc
@@ -1,8 +1,11 @@
 #include "bamboorack/upstream/load_balancer.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
+#include "bamboorack/core/hash.h"
+
 namespace bamboorack::upstream {
 namespace {
 
@@ -29,17 +32,20 @@
 // If a larger share of a service's upstreams is ejected, the cause is unlikely
 // to be in single upstreams, and ejections are ignored.
 constexpr double kMaxEjectedShare = 0.4;
-// Score penalty of upstreams in another failure domain: they cost network
-// latency and billed traffic.
-constexpr double kOtherDomainPenalty = 1.12;
-// Random variation of the scores, so that daemons with the same reports do not
-// all choose the same upstream.
-constexpr double kScoreJitter = 0.04;
 
 }  // namespace
 
-LoadBalancer::LoadBalancer(FailureDomain own_domain, std::uint64_t seed)
-    : domain(std::move(own_domain)), random_state(seed | 1U) {}
+LoadBalancer::LoadBalancer(FailureDomain own_domain, std::uint64_t own_seed)
+    : domain(std::move(own_domain)),
+      seed(own_seed),
+      random_state(own_seed | 1U) {}
+
+double LoadBalancer::AversionTo(const UpstreamId& id) const {
+  constexpr std::uint64_t kSteps = 1'000'000;
+  const std::uint64_t hash = CombineHashes(this->seed, HashText(id.value));
+  // The square root makes low values rare, so that few upstreams stand out.
+  return std::sqrt(static_cast<double>(hash % kSteps) / kSteps);
+}
 
 void LoadBalancer::SetUpstreams(const std::vector<RegisteredUpstream>& entries,
                                 MonotonicTime now) {
@@ -50,8 +56,12 @@
     const bool is_new = state.entry.run != entry.run;
     if (is_new) {
       const std::uint32_t in_flight = state.in_flight;
+      UpstreamWork work = std::move(state.work);
       state = UpstreamState{};
       state.in_flight = in_flight;
+      state.work = std::move(work);
+      state.work.OnNewRun();
+      state.aversion = this->AversionTo(entry.run.id);
       for (const auto& [peer, load] : this->peers) {
         const auto reported = load.in_flight.find(entry.run.id);
         if (reported == load.in_flight.end()) continue;
@@ -230,7 +240,7 @@
 
 void LoadBalancer::LowerLimit(UpstreamState& state, MonotonicTime now) {
   this->DropOldReports(now);
-  const double total_in_flight = TotalInFlight(state) + 1;
+  const double total_in_flight = state.TotalInFlight() + 1;
   // A refusal while slots are free has another cause, which a lower limit would
   // not remove.
   if (total_in_flight <= state.entry.slots) return;
@@ -260,11 +270,6 @@
   return static_cast<double>(ejected) / static_cast<double>(candidates.size());
 }
 
-double LoadBalancer::TotalInFlight(const UpstreamState& state) {
-  return static_cast<double>(state.in_flight) +
-         static_cast<double>(state.peer_in_flight);
-}
-
 double LoadBalancer::LimitOf(const UpstreamState& state,
                              MonotonicTime now) const {
   const double grown =
@@ -272,22 +277,6 @@
   return std::min(grown, state.entry.slots + kMaxQueuedAtUpstream);
 }
 
-double LoadBalancer::Score(const UpstreamState& state) const {
-  const double ratio = state.latency_ratio == 0 ? 1 : state.latency_ratio;
-  const double slots = state.entry.slots;
-  const double total_in_flight = TotalInFlight(state);
-  // Up to its slots the latency does not depend on the load; above, requests
-  // queue.
-  const double queueing = std::max(1.0, (total_in_flight + 1) / slots);
-  const double usage = 1 + 0.3 * total_in_flight / slots;
-  const double domain_penalty =
-      state.entry.failure_domain == this->domain ? 1 : kOtherDomainPenalty;
-  const double success_share = 1 - std::min(state.failure_share, 0.9);
-  const bool is_cold = state.entry.warm_up_left.count() > 0;
-  return ratio * queueing * usage * domain_penalty * (is_cold ? 1.5 : 1) /
-         (success_share * success_share);
-}
-
 const RegisteredUpstream* LoadBalancer::Find(const UpstreamId& id) const {
   const auto found = this->states.find(id);
   if (found == this->states.end() || found->second.entry.is_draining ||
@@ -315,45 +304,50 @@
   if (now < state.paused_until) return false;
   const double limit = this->LimitOf(state, now);
   const auto daemons = static_cast<double>(this->peers.size() + 1);
-  if (TotalInFlight(state) + 1 <= limit) return true;
+  if (state.TotalInFlight() + 1 <= limit) return true;
   // At the limit, the daemons without a request there take turns.
   if (state.in_flight > 0) return false;
   const Seconds turn_interval = Seconds(state.latency) * daemons / limit;
   return now - state.last_sent >= turn_interval;
 }
 
-double LoadBalancer::DrawJitter() {
+double LoadBalancer::DrawJitter(double width) {
   // xorshift64 is random enough to decorrelate the daemons.
   this->random_state ^= this->random_state << 13U;
   this->random_state ^= this->random_state >> 7U;
   this->random_state ^= this->random_state << 17U;
   constexpr double kSteps = 1'024;
-  return 1 + kScoreJitter * static_cast<double>(this->random_state % 1'024U) /
-                 kSteps;
+  return 1 + width * static_cast<double>(this->random_state % 1'024U) / kSteps;
 }
 
 bool LoadBalancer::IsContended(const UpstreamId& id, MonotonicTime now) {
   this->DropOldReports(now);
   const auto found = this->states.find(id);
   return found != this->states.end() &&
-         TotalInFlight(found->second) >= found->second.entry.slots;
+         found->second.TotalInFlight() >= found->second.entry.slots;
 }
 
 std::optional<UpstreamId> LoadBalancer::Choose(
     const ServiceName& service, const std::set<UpstreamId>& tried,
-    MonotonicTime now) {
+    MonotonicTime now, const PlacementPolicy& policy) {
   this->DropOldReports(now);
   const auto candidates = this->by_service.find(service);
   if (candidates == this->by_service.end()) return std::nullopt;
   const bool ignores_ejections =
       this->EjectedShare(candidates->second, now) > kMaxEjectedShare;
+  const ScoreVariation variation = policy.Variation();
+  // A daemon that has the upstreams for itself needs no preferences.
+  const auto others = static_cast<double>(this->peers.size());
+  const double preference = variation.preference * others / (others + 1);
   const UpstreamState* best = nullptr;
   double best_score = 0;
   for (const UpstreamState* state : candidates->second) {
     if (state->is_replaced || tried.contains(state->entry.run.id)) continue;
     if (!ignores_ejections && now < state->ejected_until) continue;
     if (!this->HasCapacity(*state, now)) continue;
-    const double score = this->Score(*state) * this->DrawJitter();
+    const double score = policy.Score(*state, this->domain) *
+                         this->DrawJitter(variation.random) *
+                         (1 + state->aversion * preference);
     if (best != nullptr && best_score <= score) continue;
     best = state;
     best_score = score;
@@ -366,6 +360,11 @@
   return this->by_service.contains(service);
 }
 
+UpstreamWork* LoadBalancer::FindWork(const UpstreamId& id) {
+  const auto found = this->states.find(id);
+  return found == this->states.end() ? nullptr : &found->second.work;
+}
+
 std::uint32_t LoadBalancer::OwnInFlight(const UpstreamId& id) const {
   const auto found = this->states.find(id);
   return found == this->states.end() ? 0 : found->second.in_flight;
