peer: load reports tell what upstreams stated

Cause: each daemon hears only a small part of an upstream's answers, and a statement is worth little after some hundred milliseconds. Change: a vector of 16-byte statements at the end of LoadReport; a report without statements has no vector.

--- a/include/bamboorack/peer/gossip.h
+++ b/include/bamboorack/peer/gossip.h
@@ -44,6 +44,19 @@
   auto operator<=>(const UpstreamDeparture&) const = default;
 };
 
+/// A load that an upstream stated in an answer to the sender.
+struct UpstreamStatement {
+  UpstreamHash upstream;
+  /// From the statement until the report was sent.
+  std::chrono::milliseconds age{0};
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  /// How long work takes on its host, relative to usual.
+  double slowdown = 1;
+
+  bool operator==(const UpstreamStatement&) const = default;
+};
+
 /// Tells the other daemons how busy a daemon keeps the upstreams, so that each
 /// sees the work of all.
 struct LoadReport {
@@ -54,6 +67,8 @@
   /// never did.
   std::optional<std::chrono::milliseconds> log_contact_age{};
   std::vector<UpstreamDeparture> departures{};
+  /// Loads that are unusual, and the first usual ones after these.
+  std::vector<UpstreamStatement> statements{};
 };
 
 /// A former leader's word that it sends no more orders.
--- a/lib/peer/gossip_codec.cc
+++ b/lib/peer/gossip_codec.cc
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstring>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -20,6 +22,22 @@
 constexpr double kPermille = 1'000;
 constexpr double kMaxRatio = 1'000;
 constexpr std::uint32_t kUnknownAge = 0xFFFFFFFF;
+constexpr double kPercent = 100;
+
+/// Returns `value`, or the largest number that the field can hold.
+std::uint16_t ToField(std::uint64_t value) {
+  constexpr std::uint64_t kMax = std::numeric_limits<std::uint16_t>::max();
+  return static_cast<std::uint16_t>(std::min(value, kMax));
+}
+
+gossip::UpstreamStatement Encode(const UpstreamStatement& statement) {
+  const auto age = std::max(statement.age, std::chrono::milliseconds(0));
+  const double percent = std::clamp(statement.slowdown, 0.01, kMaxRatio);
+  return {statement.upstream.value,
+          ToField(static_cast<std::uint64_t>(age.count())),
+          ToField(static_cast<std::uint64_t>(std::lround(percent * kPercent))),
+          ToField(statement.running), ToField(statement.waiting)};
+}
 
 std::string TextOf(const flatbuffers::String* text) {
   return text == nullptr ? std::string() : text->str();
@@ -50,8 +68,15 @@
   for (const UpstreamDeparture& departure : report.departures) {
     departures.emplace_back(departure.upstream.value, departure.life.value);
   }
-  return gossip::CreateLoadReportDirect(builder, &loads, &demands, age,
-                                        &departures)
+  std::vector<gossip::UpstreamStatement> statements;
+  statements.reserve(report.statements.size());
+  for (const UpstreamStatement& statement : report.statements) {
+    statements.push_back(Encode(statement));
+  }
+  // An absent vector takes no bytes.
+  return gossip::CreateLoadReportDirect(
+             builder, &loads, &demands, age, &departures,
+             statements.empty() ? nullptr : &statements)
       .Union();
 }
 
@@ -148,6 +173,15 @@
                                    UpstreamLife(departure->life())});
     }
   }
+  if (wire.statements() != nullptr) {
+    for (const gossip::UpstreamStatement* statement : *wire.statements()) {
+      if (statement->slowdown_percent() == 0) continue;
+      report.statements.push_back(
+          {UpstreamHash(statement->upstream()),
+           std::chrono::milliseconds(statement->age_ms()), statement->running(),
+           statement->waiting(), statement->slowdown_percent() / kPercent});
+    }
+  }
   if (wire.demands() != nullptr) {
     for (const gossip::KeyDemand* demand : *wire.demands()) {
       KeyDemand& row = report.demands.emplace_back();
