--- a/include/bamboorack/operator/gateway_settings.h
+++ b/include/bamboorack/operator/gateway_settings.h
@@ -8,6 +8,7 @@
 
 #include "bamboorack/core/config_codec.h"
 #include "bamboorack/core/ids.h"
+#include "bamboorack/core/placement_mode.h"
 
 namespace bamboorack::operators {
 
@@ -35,6 +36,8 @@
   std::uint32_t caller_connections = 4'096;
   /// Open connections for requests to one upstream.
   std::uint32_t connections_per_upstream = 24;
+  /// How an upstream is chosen for a request without a key.
+  PlacementMode placement = PlacementMode::kAutomatic;
 
   bool operator==(const GatewaySettings&) const = default;
 };
--- a/lib/operator/gateway_settings.cc
+++ b/lib/operator/gateway_settings.cc
@@ -1,10 +1,33 @@
 #include "bamboorack/operator/gateway_settings.h"
 
+#include <algorithm>
 #include <array>
 
 #include "bamboorack/core/json_fields.h"
 
 namespace bamboorack {
+
+template <>
+struct JsonCodec<PlacementMode> {
+  static void Read(const JsonValue& value, Range /*range*/,
+                   PlacementMode& out) {
+    const auto text = value.GetText();
+    if (!text) return;
+    const auto* const found = std::find(kPlacementModeNames.begin(),
+                                        kPlacementModeNames.end(), *text);
+    if (found == kPlacementModeNames.end()) {
+      value.Fail(value.Shown() +
+                 " is not \"automatic\", \"expected_work\" or "
+                 "\"latency_score\"");
+      return;
+    }
+    out = static_cast<PlacementMode>(found - kPlacementModeNames.begin());
+  }
+  static Poco::Dynamic::Var Write(PlacementMode in) {
+    return std::string(NameOf(in));
+  }
+};
+
 namespace {
 
 using operators::GatewaySettings;
@@ -32,7 +55,8 @@
     Field<&GatewaySettings::caller_connections>("caller_connections", kOptional,
                                                 {1, 60'000}),
     Field<&GatewaySettings::connections_per_upstream>(
-        "connections_per_upstream", kOptional, {1, 10'000})};
+        "connections_per_upstream", kOptional, {1, 10'000}),
+    Field<&GatewaySettings::placement>("placement", kOptional)};
 
 }  // namespace
 
