daemon: place requests without a key by RequestPlacement

Change: the router passes statements, ends of dispatches and reported latency ratios to RequestPlacement, adds unusual statements to its load reports and counts choices and statements. Owners of keys get their requests as before.

--- a/include/bamboorack/daemon/gateway_router.h
+++ b/include/bamboorack/daemon/gateway_router.h
@@ -13,12 +13,14 @@
 #include "bamboorack/caller/messages.h"
 #include "bamboorack/core/ids.h"
 #include "bamboorack/core/metrics.h"
+#include "bamboorack/core/placement_mode.h"
 #include "bamboorack/core/route_table.h"
 #include "bamboorack/core/time.h"
 #include "bamboorack/daemon/gateway_messages.h"
 #include "bamboorack/peer/gossip.h"
 #include "bamboorack/upstream/load_balancer.h"
 #include "bamboorack/upstream/messages.h"
+#include "bamboorack/upstream/request_placement.h"
 #include "bamboorack/upstream/retry_budget.h"
 #include "bamboorack/upstream/wait_queue.h"
 
@@ -32,6 +34,7 @@
   struct Identity {
     DaemonId daemon;
     FailureDomain failure_domain;
+    PlacementMode placement = PlacementMode::kAutomatic;
   };
 
   GatewayRouter(const Identity& own_identity, Metrics& metrics_registry);
@@ -169,6 +172,14 @@
   std::chrono::milliseconds JitterRetryAfter(
       const PendingRequest& pending, std::chrono::nanoseconds wait) const;
   void RefuseExpired();
+  /// Learns from the end of a dispatch what requests cost and how busy the
+  /// upstream is.
+  void LearnFromEnd(const PendingRequest& pending, DispatchId dispatch,
+                    upstream::UpstreamOutcome outcome,
+                    const upstream::UpstreamNotice& notice);
+  void ApplyReportedWork(const peer::LoadReport& report);
+  void AddStatements(peer::LoadReport& report);
+  void CountPlacements();
   void ReportLoad();
   std::chrono::milliseconds LoadReportInterval() const;
   GatewayActions TakeActions();
@@ -178,6 +189,7 @@
   GatewayTables tables;
   RouteTable routes;
   upstream::LoadBalancer load_balancer;
+  upstream::RequestPlacement placement;
   std::map<RouteName, ShareDealer> share_dealers;
   std::map<ServiceName, upstream::RetryBudget> budgets;
   std::map<RouteName, std::chrono::nanoseconds> average_latencies;
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -79,7 +79,8 @@
     : identity(own_identity),
       metrics(metrics_registry),
       load_balancer(own_identity.failure_domain,
-                    HashText(own_identity.daemon.value)) {}
+                    HashText(own_identity.daemon.value)),
+      placement(own_identity.placement, load_balancer) {}
 
 GatewayActions GatewayRouter::TakeActions() {
   return std::exchange(this->actions, {});
@@ -136,6 +137,7 @@
     if (found != this->by_hash.end()) in_flight[found->second] = load.in_flight;
   }
   this->load_balancer.SetPeerLoad(report.sender, std::move(in_flight), time);
+  this->ApplyReportedWork(report);
   for (const peer::UpstreamDeparture& departure : report.departures) {
     const auto found = this->by_hash.find(departure.upstream);
     if (found == this->by_hash.end()) continue;
@@ -315,10 +317,10 @@
       return std::nullopt;
     return key.upstream;
   }
-  auto chosen = this->load_balancer.Choose(key.service, pending.tried_upstreams,
-                                           this->now);
+  auto chosen = this->placement.Choose(key.service, pending.route,
+                                       pending.tried_upstreams, this->now);
   if (!chosen && !pending.tried_upstreams.empty()) {
-    chosen = this->load_balancer.Choose(key.service, {}, this->now);
+    chosen = this->placement.Choose(key.service, pending.route, {}, this->now);
   }
   return chosen;
 }
@@ -334,6 +336,10 @@
   pending.tried_upstreams.insert(id);
   this->handles_by_dispatch.emplace(pending.dispatch, pending.handle);
   this->load_balancer.OnSent(id, this->now);
+  if (!pending.is_sharded) {
+    this->placement.OnSent(id, pending.dispatch, pending.service, pending.route,
+                           pending.is_contended, this->now);
+  }
   upstream::Dispatch dispatch;
   dispatch.id = pending.dispatch;
   dispatch.upstream = {id, UpstreamInstance(id.value)};
@@ -389,6 +395,7 @@
   const nanoseconds average_latency = pending.is_contended
                                           ? nanoseconds(0)
                                           : this->AverageLatency(pending.route);
+  this->LearnFromEnd(pending, result.id, outcome, result.notice);
   this->load_balancer.OnEnded(upstream, outcome, latency, average_latency,
                               this->now);
   this->queues[pending.is_sharded ? upstream_queue : service_queue].OnServed(
@@ -450,13 +457,16 @@
   for (const auto& [run, until] : this->departures) {
     report.departures.push_back({peer::HashOf(run.id), run.life});
   }
+  this->AddStatements(report);
+  this->CountPlacements();
   if (this->tables.upstreams_read_at != MonotonicTime{}) {
     report.log_contact_age = std::max(
         milliseconds(0), std::chrono::duration_cast<milliseconds>(
                              this->now - this->tables.upstreams_read_at));
   }
   const bool has_load = !report.upstreams.empty() || !report.demands.empty() ||
-                        !report.departures.empty();
+                        !report.departures.empty() ||
+                        !report.statements.empty();
   // A daemon without load still reports at a lower rate, so that the leader
   // knows it and sends it the owners.
   if (!has_load && !this->had_load && this->now < this->next_keepalive) return;
--- a/lib/daemon/gateway_router_notices.cc
+++ b/lib/daemon/gateway_router_notices.cc
@@ -31,6 +31,7 @@
     this->LogRequest(pending, EventKind::kRequestTrouble,
                      "upstream_retry_after_invalid", std::nullopt);
   }
+  if (notice.is_load_invalid) this->metrics.Count("upstream_load_invalid");
   if (notice.retry_after) this->PauseUpstream(pending, *notice.retry_after);
 }
 
