--- a/benchmarks/expected_work_bench.cc
+++ b/benchmarks/expected_work_bench.cc
@@ -34,6 +34,31 @@
   }
 };
 
+/// The latency score with the variation of expected work, which shows how much
+/// of the difference comes from that.
+class SpreadLatencyScore final : public PlacementPolicy {
+ public:
+  double Score(const UpstreamState& state,
+               const FailureDomain& own_domain) const override {
+    return this->score.Score(state, own_domain);
+  }
+  ScoreVariation Variation() const override { return {0.1, 2}; }
+
+ private:
+  upstream::LatencyScore score;
+};
+
+class SpreadLatencyChooser final : public Chooser {
+ public:
+  std::optional<UpstreamId> Choose(LoadBalancer& balancer,
+                                   RequestPlacement& /*placement*/,
+                                   const RouteName& /*route*/,
+                                   const std::set<UpstreamId>& tried,
+                                   MonotonicTime now) override {
+    return balancer.Choose(kService, tried, now, SpreadLatencyScore());
+  }
+};
+
 class LeastRequests final : public PlacementPolicy {
  public:
   double Score(const UpstreamState& state,
@@ -96,7 +121,7 @@
                                    const std::set<UpstreamId>& tried,
                                    MonotonicTime now) override {
     const RandomOrder order(this->random);
-    const auto first = balancer.Choose(kService, tried, now, order);
+    auto first = balancer.Choose(kService, tried, now, order);
     if (!first) return std::nullopt;
     std::set<UpstreamId> without_first = tried;
     without_first.insert(*first);
@@ -127,6 +152,8 @@
 constexpr std::array kStrategies = {
     Strategy{"latency score", PlacementMode::kLatencyScore,
              &Make<ProductChooser>},
+    Strategy{"latency score, spread", PlacementMode::kLatencyScore,
+             &Make<SpreadLatencyChooser>},
     Strategy{"least requests", PlacementMode::kLatencyScore,
              &Make<LeastRequestsChooser>},
     Strategy{"two choices", PlacementMode::kLatencyScore, &MakeTwoChoices},
@@ -227,6 +254,7 @@
       "230 ms, 67 upstreams",
       MakeKind("lookup", milliseconds(230), 0.8, milliseconds(500)), 67);
   deployment.report_interval = milliseconds(100);
+  deployment.tells_statements = true;
   for (const milliseconds delay : kDelays) {
     deployment.statement_delay = delay;
     Measure(deployment, strategy, 0.9,
--- a/benchmarks/shared_upstreams_model.h
+++ b/benchmarks/shared_upstreams_model.h
@@ -58,7 +58,7 @@
   /// Time that statements take to the other daemons, beside their wait for the
   /// next report.
   milliseconds statement_delay{0};
-  bool tells_statements = true;
+  bool tells_statements = false;
 };
 
 struct Outcome {
--- a/include/bamboorack/daemon/gateway_router.h
+++ b/include/bamboorack/daemon/gateway_router.h
@@ -35,6 +35,8 @@
     DaemonId daemon;
     FailureDomain failure_domain;
     PlacementMode placement = PlacementMode::kAutomatic;
+    /// Whether the other daemons are told what upstreams state of their load.
+    bool tells_stated_loads = false;
   };
 
   GatewayRouter(const Identity& own_identity, Metrics& metrics_registry);
--- a/include/bamboorack/operator/gateway_settings.h
+++ b/include/bamboorack/operator/gateway_settings.h
@@ -38,6 +38,8 @@
   std::uint32_t connections_per_upstream = 24;
   /// How an upstream is chosen for a request without a key.
   PlacementMode placement = PlacementMode::kAutomatic;
+  /// Whether the other daemons are told what upstreams state of their load.
+  bool tell_stated_loads = false;
 
   bool operator==(const GatewaySettings&) const = default;
 };
--- a/include/bamboorack/upstream/request_placement.h
+++ b/include/bamboorack/upstream/request_placement.h
@@ -47,6 +47,7 @@
       : mode(placement_mode), balancer(upstreams) {}
   RequestPlacement(const RequestPlacement&) = delete;
   RequestPlacement& operator=(const RequestPlacement&) = delete;
+  ~RequestPlacement() = default;
 
   /// Returns the upstream for a request of `route`, or nothing if all are at
   /// their limits. Skips `tried`.
--- a/lib/daemon/gateway.cc
+++ b/lib/daemon/gateway.cc
@@ -103,9 +103,9 @@
                    MakeRangeLeases(settings), adapter.documents, metrics,
                    std::chrono::steady_clock::now()),
         ownership(controller, rings, log, metrics),
-        routing(
-            {settings.daemon_id, settings.failure_domain, settings.placement},
-            rings, log, metrics),
+        routing({settings.daemon_id, settings.failure_domain,
+                 settings.placement, settings.tell_stated_loads},
+                rings, log, metrics),
         memory(MakeMemoryBudget(settings.memory_mb, metrics)),
         callers(MakeCallerSettings(settings, adapter, memory),
                 rings.caller_to_routing, rings.routing_to_caller, metrics),
--- a/lib/daemon/gateway_router_placement.cc
+++ b/lib/daemon/gateway_router_placement.cc
@@ -40,8 +40,9 @@
 }
 
 void GatewayRouter::AddStatements(peer::LoadReport& report) {
-  for (const upstream::LoadToTell& told :
-       this->placement.TakeLoadsToTell(this->now)) {
+  const auto loads = this->placement.TakeLoadsToTell(this->now);
+  if (!this->identity.tells_stated_loads) return;
+  for (const upstream::LoadToTell& told : loads) {
     report.statements.push_back(
         {peer::HashOf(told.upstream),
          std::chrono::duration_cast<milliseconds>(told.age), told.load.running,
--- a/lib/operator/gateway_settings.cc
+++ b/lib/operator/gateway_settings.cc
@@ -56,7 +56,8 @@
                                                 {1, 60'000}),
     Field<&GatewaySettings::connections_per_upstream>(
         "connections_per_upstream", kOptional, {1, 10'000}),
-    Field<&GatewaySettings::placement>("placement", kOptional)};
+    Field<&GatewaySettings::placement>("placement", kOptional),
+    Field<&GatewaySettings::tell_stated_loads>("tell_stated_loads", kOptional)};
 
 }  // namespace
 
--- a/lib/upstream/request_placement.cc
+++ b/lib/upstream/request_placement.cc
@@ -44,11 +44,11 @@
     const ServiceName& service, const RouteName& route,
     const std::set<UpstreamId>& tried, MonotonicTime now) {
   if (!this->UsesExpectedWork(service, now)) {
-    const auto chosen = this->balancer.Choose(service, tried, now);
+    auto chosen = this->balancer.Choose(service, tried, now);
     if (chosen) ++this->counts.by_latency_score;
     return chosen;
   }
-  const auto chosen = this->balancer.Choose(
+  auto chosen = this->balancer.Choose(
       service, tried, now,
       ExpectedEnd(this->costs, this->MakeContext(service, route, now)));
   if (chosen) ++this->counts.by_expected_work;
--- a/unittests/daemon/gateway_router_fixture.h
+++ b/unittests/daemon/gateway_router_fixture.h
@@ -42,7 +42,9 @@
 
 /// A router; the test plays the callers, the upstreams and the control thread.
 struct GatewayRouterFixture {
-  GatewayRouterFixture() {
+  explicit GatewayRouterFixture(const GatewayRouter::Identity& identity =
+                                    {DaemonId("d0"), FailureDomain("east")})
+      : router(identity, metrics) {
     auto state = std::make_shared<DesiredState>();
     state->version = ConfigVersion(1);
     state->routes = {
@@ -131,7 +133,7 @@
 
   MonotonicTime now{std::chrono::seconds(100)};
   Metrics metrics;
-  GatewayRouter router{{DaemonId("d0"), FailureDomain("east")}, metrics};
+  GatewayRouter router;
   GatewayTables tables;
   std::vector<RegisteredUpstream> upstreams;
   OwnerMap owners;
--- a/unittests/platform/stated_load_test.cc
+++ b/unittests/platform/stated_load_test.cc
@@ -84,6 +84,8 @@
         PlacementMode::kExpectedWork);
   CHECK(read(R"("placement": "latency_score",)")->placement ==
         PlacementMode::kLatencyScore);
+  CHECK_FALSE(read("")->tell_stated_loads);
+  CHECK(read(R"("tell_stated_loads": true,)")->tell_stated_loads);
   for (const char* fault : {R"("placement": "fast",)", R"("placement": 1,)",
                             R"("placement": null,)"}) {
     CAPTURE(fault);
--- a/unittests/upstream/request_placement_test.cc
+++ b/unittests/upstream/request_placement_test.cc
@@ -220,6 +220,35 @@
   }
 }
 
+SCENARIO("daemons with the same news all choose the same upstream") {
+  // Each of them hears the same of all upstreams, and none has sent anything.
+  constexpr int kDaemons = 20;
+  const Fixture shape(PlacementMode::kExpectedWork, 40);
+  std::map<UpstreamId, int> chosen;
+  for (int daemon = 0; daemon < kDaemons; ++daemon) {
+    LoadBalancer balancer(FailureDomain("east"),
+                          1'000 + static_cast<std::uint64_t>(daemon));
+    RequestPlacement placement(PlacementMode::kExpectedWork, balancer);
+    balancer.SetUpstreams(shape.entries, shape.now);
+    for (int other = 1; other < kDaemons; ++other) {
+      balancer.SetPeerLoad(DaemonId(std::to_string(other)), {}, shape.now);
+    }
+    for (int i = 0; i < 40; ++i) {
+      const bool is_slowed = i % 5 == 0;
+      placement.OnLoadTold(Fixture::IdOf(i), is_slowed ? kSlowed : kIdle,
+                           milliseconds(20), shape.now);
+    }
+    ++chosen[*placement.Choose(kDesk, kRead, {}, shape.now)];
+  }
+  THEN("no slowed one is chosen, and none by more than can run there") {
+    for (const auto& [upstream, count] : chosen) {
+      CAPTURE(upstream);
+      CHECK(count <= 3);
+      CHECK(std::stoi(upstream.value.substr(1)) % 5 != 0);
+    }
+  }
+}
+
 SCENARIO("daemons fill their links with what upstreams state") {
   Fixture fixture;
   const auto told = [&fixture] {
