--- a/include/bamboorack/operator/gateway_settings.h
+++ b/include/bamboorack/operator/gateway_settings.h
@@ -8,6 +8,7 @@
 
 #include "bamboorack/core/config_codec.h"
 #include "bamboorack/core/ids.h"
+#include "bamboorack/core/placement_mode.h"
 
 namespace bamboorack::operators {
 
@@ -38,6 +39,10 @@
   std::uint32_t caller_connections = 4'096;
   /// Open connections for requests to one upstream.
   std::uint32_t connections_per_upstream = 24;
+  /// How an upstream is chosen for a request without a key.
+  PlacementMode placement = PlacementMode::kAutomatic;
+  /// Whether the other daemons are told what upstreams state of their load.
+  bool tell_stated_loads = false;
 
   bool operator==(const GatewaySettings&) const = default;
 };
--- a/include/bamboorack/upstream/load_balancer.h
+++ b/include/bamboorack/upstream/load_balancer.h
@@ -14,8 +14,10 @@
 #include "bamboorack/core/leaving_upstreams.h"
 #include "bamboorack/core/time.h"
 #include "bamboorack/core/upstream_registry.h"
-#include "bamboorack/upstream/burst_limit.h"
+#include "bamboorack/upstream/placement_policy.h"
+#include "bamboorack/upstream/upstream_state.h"
 #include "bamboorack/upstream/warm_up_schedule.h"
+#include "bamboorack/upstream/work_left.h"
 
 namespace bamboorack::upstream {
 
@@ -126,11 +128,11 @@
   /// Whether all slots of the upstream are taken, so that a request sent now
   /// would queue there.
   bool IsContended(const UpstreamId& id, MonotonicTime now);
-  /// Returns the best upstream of a service that is below its limit, or
-  /// nothing. Skips `tried`.
-  std::optional<UpstreamId> Choose(const ServiceName& service,
-                                   const std::set<UpstreamId>& tried,
-                                   MonotonicTime now);
+  /// Returns the upstream of a service that is below its limit and best by
+  /// `policy`, or nothing. Skips `tried`.
+  std::optional<UpstreamId> Choose(
+      const ServiceName& service, const std::set<UpstreamId>& tried,
+      MonotonicTime now, const PlacementPolicy& policy = LatencyScore());
   /// Whether the service has an upstream that is neither draining nor in an
   /// evacuated failure domain.
   bool HasActiveUpstream(const ServiceName& service) const;
@@ -138,6 +140,8 @@
   /// evacuation.
   bool IsEvacuated(const ServiceName& service) const;
 
+  /// Returns the work at an upstream, or null if the upstream is not known.
+  UpstreamWork* FindWork(const UpstreamId& id);
   std::uint32_t OwnInFlight(const UpstreamId& id) const;
   /// Smoothed ratio of the latency to the mean latency of similar requests: 1
   /// is average, 0 means no data.
@@ -158,43 +162,12 @@
   /// the time until the daemons learn that it is draining.
   static constexpr std::chrono::milliseconds kDrainGracePeriod{900};
 
-  struct UpstreamState {
-    RegisteredUpstream entry;
-    /// Another upstream has its address; cleared only by a new run.
-    bool is_replaced = false;
-    /// Set while the upstream is draining or no longer listed.
-    std::optional<MonotonicTime> draining_since;
-    std::uint32_t in_flight = 0;
-    /// Sum over the load reports that are in use.
-    std::uint32_t peer_in_flight = 0;
-    MonotonicTime last_sent;
-    BurstLimit burst;
-    MonotonicTime paused_until;
-    /// When this daemon last sent it a request while it was cold.
-    std::optional<MonotonicTime> turn_used;
-    /// Smoothed latency; 0 before the first answer.
-    std::chrono::nanoseconds latency{0};
-    /// Smoothed; 0 before the first answer.
-    double latency_ratio = 0;
-    bool is_latency_ratio_updated = false;
-    /// Concurrency limit over all daemons, lowered by refusals.
-    double limit = 1;
-    MonotonicTime limit_updated;
-    /// Smoothed share of requests that failed.
-    double failure_share = 0;
-    int failures_in_a_row = 0;
-    MonotonicTime ejected_until;
-    int ejections = 0;
-    MonotonicTime next_probe;
-  };
-
   /// The last load report of another daemon.
   struct PeerLoad {
     std::map<UpstreamId, std::uint32_t> in_flight;
     MonotonicTime at;
   };
 
-  static double TotalInFlight(const UpstreamState& state);
   /// Adds a report to the sums of the upstreams, or takes it back.
   void AddPeerLoad(const PeerLoad& load);
   void SubtractPeerLoad(const PeerLoad& load);
@@ -203,16 +176,19 @@
   void IndexByService();
   MonotonicTime LatestSend(const UpstreamState& state) const;
   bool HasCapacity(const UpstreamState& state, MonotonicTime now) const;
-  /// Returns a number from 1 to 1 + `kScoreJitter`.
-  double DrawJitter();
+  /// Returns a number from 1 to 1 + `width`.
+  double DrawJitter(double width);
   double LimitOf(const UpstreamState& state, MonotonicTime now) const;
-  double Score(const UpstreamState& state, MonotonicTime now) const;
   void LowerLimit(UpstreamState& state, MonotonicTime now);
   void Eject(UpstreamState& state, MonotonicTime now);
   double EjectedShare(const std::vector<UpstreamState*>& candidates,
                       MonotonicTime now) const;
 
+  /// Returns the aversion of this daemon to an upstream.
+  double AversionTo(const UpstreamId& id) const;
+
   const FailureDomain domain;
+  const std::uint64_t seed;
   std::uint64_t random_state;
   std::map<UpstreamId, UpstreamState> states;
   EvacuatedDomains evacuated;
