--- a/include/bamboorack/peer/gossip.h
+++ b/include/bamboorack/peer/gossip.h
@@ -26,11 +26,14 @@
 struct UpstreamLoad {
   UpstreamHash upstream;
   std::uint32_t in_flight = 0;
-  /// Latency against the mean of all upstreams; 1 is average, 0 unknown.
+  /// Mean latency of the answers since the last report against that of similar
+  /// requests at all upstreams; 1 is average, 0 unknown. An older daemon sends
+  /// a smoothed value.
   double latency_ratio = 0;
 };
 
-/// The keys of the requests for one service since the last report.
+/// The keys of the requests for one service since the last report. Keys whose
+/// requests cost more than the mean are listed more often.
 struct KeyDemand {
   ServiceName service;
   std::vector<ShardKey> keys;
--- a/include/bamboorack/upstream/load_balancer.h
+++ b/include/bamboorack/upstream/load_balancer.h
@@ -12,6 +12,7 @@
 #include "bamboorack/core/leaving_upstreams.h"
 #include "bamboorack/core/time.h"
 #include "bamboorack/core/upstream_registry.h"
+#include "bamboorack/upstream/ratio_mean.h"
 
 namespace bamboorack::upstream {
 
@@ -105,8 +106,8 @@
   /// Smoothed ratio of the latency to the mean latency of similar requests: 1
   /// is average, 0 means no data.
   double LatencyRatio(const UpstreamId& id) const;
-  /// Returns the latency ratio if it was updated since the last call, otherwise
-  /// 0.
+  /// Returns the mean latency ratio of the answers since the last call, 0 if
+  /// there were none. Unlike `LatencyRatio` it is not smoothed.
   double TakeUpdatedLatencyRatio(const UpstreamId& id);
   std::vector<UpstreamId> Ids() const;
   /// Whether the upstream currently gets no requests, because several in a row
@@ -136,7 +137,7 @@
     std::chrono::nanoseconds latency{0};
     /// Smoothed; 0 before the first answer.
     double latency_ratio = 0;
-    bool is_latency_ratio_updated = false;
+    RatioMean unreported_ratios;
     /// Concurrency limit over all daemons, lowered by refusals.
     double limit = 1;
     MonotonicTime limit_updated;
--- a/lib/upstream/load_balancer.cc
+++ b/lib/upstream/load_balancer.cc
@@ -220,7 +220,7 @@
   if (mean_latency.count() <= 0) return;
   const double ratio = std::clamp(Seconds(latency) / Seconds(mean_latency),
                                   kMinLatencyRatio, kMaxLatencyRatio);
-  state.is_latency_ratio_updated = true;
+  state.unreported_ratios.Add(ratio);
   state.latency_ratio =
       state.latency_ratio == 0
           ? 1 + (ratio - 1) * kLatencySmoothing
@@ -379,9 +379,7 @@
 double LoadBalancer::TakeUpdatedLatencyRatio(const UpstreamId& id) {
   const auto found = this->states.find(id);
   if (found == this->states.end()) return 0;
-  const bool is_new =
-      std::exchange(found->second.is_latency_ratio_updated, false);
-  return is_new ? found->second.latency_ratio : 0;
+  return found->second.unreported_ratios.Take();
 }
 
 std::vector<UpstreamId> LoadBalancer::Ids() const {
