upstream, daemon: report keys in proportion to the work of their requests

Cause: the planner counted requests, whatever they cost. Change: DemandCounter lists a key more often if requests of its route take longer than the mean of the service. The report keeps its layout and length.

--- a/include/bamboorack/daemon/gateway_router.h
+++ b/include/bamboorack/daemon/gateway_router.h
@@ -17,6 +17,7 @@
 #include "bamboorack/core/time.h"
 #include "bamboorack/daemon/gateway_messages.h"
 #include "bamboorack/peer/gossip.h"
+#include "bamboorack/upstream/demand_counter.h"
 #include "bamboorack/upstream/load_balancer.h"
 #include "bamboorack/upstream/messages.h"
 #include "bamboorack/upstream/retry_budget.h"
@@ -188,7 +189,7 @@
   std::unordered_map<DispatchId, Handle> handles_by_dispatch;
   std::map<QueueKey, upstream::WaitQueue> queues;
   std::set<Handle> unowned;
-  std::map<ServiceName, std::vector<ShardKey>> key_demand;
+  upstream::DemandCounter key_demand;
   std::map<DaemonId, MonotonicTime> peer_reported_at;
   /// Runs that said that they leave, and until when the others are told.
   std::map<UpstreamRun, MonotonicTime> departures;
--- /dev/null
+++ b/include/bamboorack/upstream/demand_counter.h
@@ -0,0 +1,40 @@
+#ifndef BAMBOORACK_UPSTREAM_DEMAND_COUNTER_H_
+#define BAMBOORACK_UPSTREAM_DEMAND_COUNTER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "bamboorack/core/ids.h"
+#include "bamboorack/core/key_range.h"
+
+namespace bamboorack::upstream {
+
+/// Lists the keys of requests for a load report. A key is listed more or less
+/// often than it was requested if its requests cost more or less than the mean
+/// of their service, so that the report says where the work is and grows no
+/// longer. Single requests are rounded at random: on average each key is listed
+/// in proportion to its work.
+class DemandCounter {
+ public:
+  explicit DemandCounter(std::uint64_t seed) : random_state(seed | 1U) {}
+
+  /// `cost` is the expected time that such a request takes.
+  void Add(const ServiceName& service, ShardKey key,
+           std::chrono::nanoseconds cost);
+  /// Returns the keys since the last call.
+  std::map<ServiceName, std::vector<ShardKey>> Take();
+
+ private:
+  /// Returns a number from 0 to less than 1.
+  double Draw();
+
+  std::uint64_t random_state;
+  std::map<ServiceName, std::chrono::nanoseconds> mean_costs;
+  std::map<ServiceName, std::vector<ShardKey>> keys;
+};
+
+}  // namespace bamboorack::upstream
+
+#endif  // BAMBOORACK_UPSTREAM_DEMAND_COUNTER_H_
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -79,7 +79,8 @@
     : identity(own_identity),
       metrics(metrics_registry),
       load_balancer(own_identity.failure_domain,
-                    HashText(own_identity.daemon.value)) {}
+                    HashText(own_identity.daemon.value)),
+      key_demand(HashText(own_identity.daemon.value)) {}
 
 GatewayActions GatewayRouter::TakeActions() {
   return std::exchange(this->actions, {});
@@ -167,7 +168,10 @@
   }
   this->budgets.try_emplace(stored.service, kRetryBudgetRatio)
       .first->second.OnRequest();
-  if (stored.is_sharded) this->key_demand[stored.service].push_back(stored.key);
+  if (stored.is_sharded) {
+    this->key_demand.Add(stored.service, stored.key,
+                         this->AverageLatency(stored.route));
+  }
   this->ScheduleRequest(stored, true);
 }
 
@@ -441,10 +445,9 @@
     if (in_flight == 0 && ratio == 0) continue;
     report.upstreams.push_back({peer::HashOf(id), in_flight, ratio});
   }
-  for (auto& [service, keys] : this->key_demand) {
+  for (auto& [service, keys] : this->key_demand.Take()) {
     if (!keys.empty()) report.demands.push_back({service, std::move(keys)});
   }
-  this->key_demand.clear();
   std::erase_if(this->departures,
                 [this](const auto& item) { return this->now >= item.second; });
   for (const auto& [run, until] : this->departures) {
