upstream: allow 16 releases to one upstream at a time

Cause: a release is answered when the requests on its keys have ended. With two connections, two ranges with running requests held up the dozens of others that leave an upstream whose keys became hot, until their leases ran out. Change: 16 connections for releases.

--- a/lib/upstream/upstream_reactor.cc
+++ b/lib/upstream/upstream_reactor.cc
@@ -27,9 +27,12 @@
     MonotonicTime::max().time_since_epoch().count();
 // Indexed by traffic class; `kData` has its limit in the settings. Renewals to
 // one upstream are sequential, so more than one connection is only needed when
-// the upstream stops responding on the first.
+// the upstream stops responding on the first. A release is answered when the
+// requests on its keys have ended, and an upstream whose keys became hot
+// releases dozens of ranges at once: those with requests must not hold up the
+// others until their leases run out.
 constexpr std::array<std::size_t, kTrafficClassCount> kMaxControlConnections = {
-    0, 3, 2, 4};
+    0, 3, 16, 4};
 
 /// Returns how long a connection may stay idle and be reused, from
 /// `Keep-Alive: timeout=N` in an answer, less a margin for a close that is in
