daemon, core: divide keys by learned speeds and offered work

Cause: the leader kept a ratio for each upstream and daemon for ever, and did not know the load of a service. Change: the controller uses SpeedEstimator, OfferedLoad and SharePolicy, and forgets runs that are not registered.

--- a/include/bamboorack/core/metrics.h
+++ b/include/bamboorack/core/metrics.h
@@ -34,7 +34,8 @@
   /// Counts an event that is neither a refusal nor a retry. `name` is in
   /// `snake_case` and becomes `bamboorack_<name>_total`.
   void Count(std::string_view name, std::uint64_t amount = 1);
-  /// Sets a value that may go down; becomes `bamboorack_<name>`.
+  /// Sets a value that may go down; becomes `bamboorack_<name>`. The name may
+  /// end with labels: `name{label="value"}`.
   void SetGauge(std::string_view name, double value);
   /// Adds a gauge whose value is read for each `ToPrometheusText`, by any
   /// thread. `source` must stay valid as long as this object.
--- a/include/bamboorack/daemon/ownership_controller.h
+++ b/include/bamboorack/daemon/ownership_controller.h
@@ -2,6 +2,7 @@
 #define BAMBOORACK_DAEMON_OWNERSHIP_CONTROLLER_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -18,6 +19,7 @@
 #include "bamboorack/core/ids.h"
 #include "bamboorack/core/metrics.h"
 #include "bamboorack/core/owner_map.h"
+#include "bamboorack/core/placement_mode.h"
 #include "bamboorack/core/time.h"
 #include "bamboorack/core/upstream_registry.h"
 #include "bamboorack/daemon/gateway_messages.h"
@@ -28,9 +30,12 @@
 #include "bamboorack/log_service/topic_follower_thread.h"
 #include "bamboorack/peer/gossip.h"
 #include "bamboorack/upstream/messages.h"
+#include "bamboorack/upstream/offered_load.h"
 #include "bamboorack/upstream/range_leadership.h"
 #include "bamboorack/upstream/range_lease_manager.h"
 #include "bamboorack/upstream/range_planner.h"
+#include "bamboorack/upstream/share_policy.h"
+#include "bamboorack/upstream/speed_estimator.h"
 
 namespace bamboorack::daemon {
 
@@ -60,6 +65,8 @@
     Endpoint gossip_endpoint;
     /// How much later than others this daemon claims leadership.
     std::chrono::milliseconds claim_delay{0};
+    /// How keys are divided among the upstreams of a service.
+    PlacementMode placement = PlacementMode::kAutomatic;
   };
 
   OwnershipController(
@@ -78,6 +85,10 @@
                                MonotonicTime now);
   OwnershipActions Tick(MonotonicTime now);
 
+  /// Tells whether the upstreams of a service state their load. If they do,
+  /// `PlacementMode::kAutomatic` divides its keys by expected latency.
+  void SetStatesLoad(const ServiceName& service, bool states_load);
+
   /// Starts releasing the leadership. `IsHandedOver` returns true when that is
   /// done.
   void BeginStop() { this->is_stopping = true; }
@@ -125,7 +136,17 @@
   void CheckReachability();
   void PlanMoves();
   std::vector<upstream::RangeCandidate> Candidates(const ServiceName& service);
-  double RelativeSpeed(const UpstreamId& id) const;
+  double SpeedOf(const UpstreamRun& run) const;
+  /// Finds upstreams in `tables.upstreams` by their hash, and forgets what was
+  /// learned of runs that are gone.
+  void IndexUpstreams();
+  /// Learns speeds and the work in progress from a report.
+  void LearnWork(const peer::LoadReport& report);
+  const upstream::SharePolicy& SharePolicyOf(const ServiceName& service) const;
+  void SetPlanGauges(const ServiceName& service, double offered,
+                     double capacity);
+  /// Only the leader knows the values.
+  void ForgetPlanGauges();
   void PublishOwners();
   /// Merges the owners in a leader beat. Returns whether they were newer than
   /// the known ones.
@@ -151,8 +172,13 @@
   upstream::RangeLeaseManager lease_manager;
   upstream::RangeLeadership::Role previous_role =
       upstream::RangeLeadership::Role::kFollower;
-  std::map<ServiceName, upstream::KeyLoad> key_loads;
-  std::map<peer::UpstreamHash, std::map<DaemonId, double>> latency_ratios;
+  std::map<ServiceName, upstream::ServiceKeyLoad> key_loads;
+  /// Indices in `tables.upstreams`.
+  std::map<peer::UpstreamHash, std::size_t> upstream_index;
+  upstream::SpeedEstimator speeds;
+  upstream::OfferedLoad offered_load;
+  /// Services whose upstreams state their load.
+  std::set<ServiceName> stating_services;
   std::set<peer::UpstreamDeparture> known_departures;
   bool has_new_tables = false;
 
--- a/lib/core/metrics.cc
+++ b/lib/core/metrics.cc
@@ -40,9 +40,16 @@
   return IndexOf(rank) * kEndingNames.size() + static_cast<std::size_t>(ending);
 }
 
-void WriteGauge(const std::string& name, double value, std::ostream& out) {
-  out << "# TYPE bamboorack_" << name << " gauge\n"
-      << "bamboorack_" << name << ' ' << value << '\n';
+/// Writes one gauge. Series of one name with different labels follow each other
+/// and have one line for their type; `last_name` is the name before.
+void WriteGauge(const std::string& series, double value, std::string& last_name,
+                std::ostream& out) {
+  const std::string name = series.substr(0, series.find('{'));
+  if (name != last_name) {
+    out << "# TYPE bamboorack_" << name << " gauge\n";
+    last_name = name;
+  }
+  out << "bamboorack_" << series << ' ' << value << '\n';
 }
 
 }  // namespace
@@ -156,9 +163,12 @@
     out << "# TYPE bamboorack_" << name << "_total counter\n"
         << "bamboorack_" << name << "_total " << value << '\n';
   }
-  for (const auto& [name, value] : this->gauges) WriteGauge(name, value, out);
+  std::string last_gauge;
+  for (const auto& [name, value] : this->gauges) {
+    WriteGauge(name, value, last_gauge, out);
+  }
   for (const auto& [name, source] : this->gauge_sources) {
-    WriteGauge(name, source(), out);
+    WriteGauge(name, source(), last_gauge, out);
   }
   out << "# TYPE bamboorack_latency_seconds histogram\n";
   for (const Rank rank : kRanks) {
--- a/lib/daemon/ownership_controller.cc
+++ b/lib/daemon/ownership_controller.cc
@@ -22,8 +22,6 @@
 // Older load reports do not reflect the current state.
 constexpr seconds kMaxReportAge{1};
 constexpr std::size_t kMaxKnownDepartures = 8'192;
-constexpr double kMinRelativeSpeed = 0.25;
-constexpr double kMaxRelativeSpeed = 2.5;
 
 std::string MillisecondsText(std::chrono::nanoseconds span) {
   return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
@@ -68,6 +66,7 @@
       std::make_shared<const std::vector<RegisteredUpstream>>(
           std::move(entries));
   this->has_new_tables = true;
+  this->IndexUpstreams();
   const bool is_announced =
       this->tables.owners &&
       this->tables.owners->version == this->announced_version;
@@ -101,14 +100,11 @@
   if (report.log_contact_age) {
     contact.log_contact = this->now - *report.log_contact_age;
   }
-  for (const peer::UpstreamLoad& load : report.upstreams) {
-    if (load.latency_ratio <= 0) continue;
-    this->latency_ratios[load.upstream][report.sender] = load.latency_ratio;
-  }
+  this->LearnWork(report);
   this->MarkDepartures(report.departures);
   if (this->leadership.GetRole() != RangeLeadership::Role::kLeader) return;
   for (const peer::KeyDemand& demand : report.demands) {
-    upstream::KeyLoad& load = this->key_loads[demand.service];
+    upstream::ServiceKeyLoad& load = this->key_loads[demand.service];
     for (const ShardKey key : demand.keys) load.Add(key, 1);
   }
 }
@@ -236,6 +232,7 @@
     if (role == RangeLeadership::Role::kFollower) {
       this->LogEvent(EventKind::kOwnership, "leadership_lost",
                      {{"term", TextOf(this->leadership.OwnTerm())}});
+      this->ForgetPlanGauges();
     }
   }
   this->metrics.SetGauge("is_leader",
@@ -332,29 +329,6 @@
   this->must_step_down = true;
 }
 
-void OwnershipController::PlanMoves() {
-  for (const auto& [service, ignored] : this->lease_manager.ToRecord()) {
-    upstream::KeyLoad& load = this->key_loads[service];
-    load.Decay(this->now);
-    load.UpdatePrefixSums();
-    const auto moves = upstream::RangePlanner::Plan(
-        this->lease_manager.Ranges(service), this->Candidates(service), load);
-    for (const upstream::RangeMove& move : moves) {
-      this->lease_manager.Move(service, move);
-    }
-    if (moves.empty()) continue;
-    this->metrics.Count("range_moves", moves.size());
-    const ShardKey hottest = load.HottestKey();
-    this->LogEvent(
-        EventKind::kOwnership, "moves_planned",
-        {{"service", service.value},
-         {"moves", std::to_string(moves.size())},
-         {"load", TextOf(load.Total())},
-         {"hottest_key", TextOf(hottest)},
-         {"hottest_load", TextOf(load.WeightOf({hottest, hottest}))}});
-  }
-}
-
 std::vector<upstream::RangeCandidate> OwnershipController::Candidates(
     const ServiceName& service) {
   std::vector<upstream::RangeCandidate> candidates;
@@ -363,20 +337,11 @@
     if (entry.service != service || entry.is_draining) continue;
     if (this->lease_manager.IsUnreachable(entry.run, this->now)) continue;
     candidates.push_back(
-        {entry.run, entry.slots * this->RelativeSpeed(entry.run.id)});
+        {entry.run, entry.slots * this->SpeedOf(entry.run), entry.slots});
   }
   return candidates;
 }
 
-double OwnershipController::RelativeSpeed(const UpstreamId& id) const {
-  const auto found = this->latency_ratios.find(peer::HashOf(id));
-  if (found == this->latency_ratios.end() || found->second.empty()) return 1;
-  double sum = 0;
-  for (const auto& [daemon, ratio] : found->second) sum += ratio;
-  const double mean = sum / static_cast<double>(found->second.size());
-  return std::clamp(1 / mean, kMinRelativeSpeed, kMaxRelativeSpeed);
-}
-
 void OwnershipController::PublishOwners() {
   if (this->lease_manager.HasNewOwnerMap() &&
       this->now >= this->next_publication) {
