--- a/include/bamboorack/daemon/ownership_controller.h
+++ b/include/bamboorack/daemon/ownership_controller.h
@@ -2,6 +2,7 @@
 #define BAMBOORACK_DAEMON_OWNERSHIP_CONTROLLER_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -19,6 +20,7 @@
 #include "bamboorack/core/ids.h"
 #include "bamboorack/core/metrics.h"
 #include "bamboorack/core/owner_map.h"
+#include "bamboorack/core/placement_mode.h"
 #include "bamboorack/core/time.h"
 #include "bamboorack/core/upstream_registry.h"
 #include "bamboorack/daemon/gateway_messages.h"
@@ -29,9 +31,12 @@
 #include "bamboorack/log_service/topic_follower_thread.h"
 #include "bamboorack/peer/gossip.h"
 #include "bamboorack/upstream/messages.h"
+#include "bamboorack/upstream/offered_load.h"
 #include "bamboorack/upstream/range_leadership.h"
 #include "bamboorack/upstream/range_lease_manager.h"
 #include "bamboorack/upstream/range_planner.h"
+#include "bamboorack/upstream/share_policy.h"
+#include "bamboorack/upstream/speed_estimator.h"
 
 namespace bamboorack::daemon {
 
@@ -64,6 +69,8 @@
     /// From the log's acknowledgement of an order to evacuate a failure domain
     /// until no request may reach an upstream there.
     std::chrono::milliseconds evacuation_time{5'000};
+    /// How keys are divided among the upstreams of a service.
+    PlacementMode placement = PlacementMode::kAutomatic;
   };
 
   OwnershipController(
@@ -155,7 +162,17 @@
   void LogColdUpstreams();
   /// Logs upstreams that have become warm.
   void LogWarmUpstreams();
-  double RelativeSpeed(const UpstreamId& id) const;
+  double SpeedOf(const UpstreamRun& run) const;
+  /// Finds upstreams in `tables.upstreams` by their hash, and forgets what was
+  /// learned of runs that are gone.
+  void IndexUpstreams();
+  /// Learns speeds and the work in progress from a report.
+  void LearnWork(const peer::LoadReport& report);
+  const upstream::SharePolicy& SharePolicyOf(const ServiceName& service) const;
+  void SetPlanGauges(const ServiceName& service, double offered,
+                     double capacity);
+  /// Only the leader knows the values.
+  void ForgetPlanGauges();
   void PublishOwners();
   /// Merges the owners in a leader beat. Returns whether they were newer than
   /// the known ones.
@@ -181,8 +198,14 @@
   upstream::RangeLeaseManager lease_manager;
   upstream::RangeLeadership::Role previous_role =
       upstream::RangeLeadership::Role::kFollower;
-  std::map<ServiceName, upstream::KeyLoad> key_loads;
-  std::map<peer::UpstreamHash, std::map<DaemonId, double>> latency_ratios;
+  std::map<ServiceName, upstream::ServiceKeyLoad> key_loads;
+  /// Indices in `tables.upstreams`.
+  std::map<peer::UpstreamHash, std::size_t> upstream_index;
+  upstream::SpeedEstimator speeds;
+  upstream::OfferedLoad offered_load;
+  /// Services whose upstreams state their load, by the reports of any daemon.
+  /// `PlacementMode::kAutomatic` divides their keys by expected latency.
+  std::set<ServiceName> stating_services;
   std::set<peer::UpstreamDeparture> known_departures;
   Evacuations evacuations;
   /// As last reported by this daemon as the leader.
--- a/include/bamboorack/upstream/load_balancer.h
+++ b/include/bamboorack/upstream/load_balancer.h
@@ -146,8 +146,8 @@
   /// Smoothed ratio of the latency to the mean latency of similar requests: 1
   /// is average, 0 means no data.
   double LatencyRatio(const UpstreamId& id) const;
-  /// Returns the latency ratio if it was updated since the last call, otherwise
-  /// 0.
+  /// Returns the mean latency ratio of the answers since the last call, 0 if
+  /// there were none. Unlike `LatencyRatio` it is not smoothed.
   double TakeUpdatedLatencyRatio(const UpstreamId& id);
   std::vector<UpstreamId> Ids() const;
   /// Whether the upstream currently gets no requests, because several in a row
--- a/include/bamboorack/upstream/upstream_state.h
+++ b/include/bamboorack/upstream/upstream_state.h
@@ -8,6 +8,7 @@
 #include "bamboorack/core/time.h"
 #include "bamboorack/core/upstream_registry.h"
 #include "bamboorack/upstream/burst_limit.h"
+#include "bamboorack/upstream/ratio_mean.h"
 #include "bamboorack/upstream/work_left.h"
 
 namespace bamboorack::upstream {
@@ -31,7 +32,7 @@
   std::chrono::nanoseconds latency{0};
   /// Smoothed; 0 before the first answer.
   double latency_ratio = 0;
-  bool is_latency_ratio_updated = false;
+  RatioMean unreported_ratios;
   /// Concurrency limit over all daemons, lowered by refusals.
   double limit = 1;
   MonotonicTime limit_updated;
--- a/lib/daemon/gateway_router_notices.cc
+++ b/lib/daemon/gateway_router_notices.cc
@@ -32,6 +32,7 @@
                      "upstream_retry_after_invalid", std::nullopt);
   }
   if (notice.is_load_invalid) this->metrics.Count("upstream_load_invalid");
+  if (notice.load) this->stating_services.insert(pending.service);
   if (notice.retry_after) this->PauseUpstream(pending, *notice.retry_after);
 }
 
--- a/lib/peer/gossip_codec.cc
+++ b/lib/peer/gossip_codec.cc
@@ -57,7 +57,7 @@
     keys.reserve(demand.keys.size());
     for (const ShardKey key : demand.keys) keys.push_back(key.value);
     demands.push_back(gossip::CreateKeyDemandDirect(
-        builder, demand.service.value.c_str(), &keys));
+        builder, demand.service.value.c_str(), &keys, demand.states_load));
   }
   const auto age =
       report.log_contact_age
@@ -186,6 +186,7 @@
     for (const gossip::KeyDemand* demand : *wire.demands()) {
       KeyDemand& row = report.demands.emplace_back();
       row.service = ServiceName(TextOf(demand->service()));
+      row.states_load = demand->states_load();
       if (demand->keys() == nullptr) continue;
       for (const std::uint16_t key : *demand->keys()) {
         row.keys.emplace_back(key);
--- a/unittests/peer/gossip_thread_test.cc
+++ b/unittests/peer/gossip_thread_test.cc
@@ -22,7 +22,8 @@
   LoadReport report;
   report.sender = DaemonId("d0");
   report.upstreams = {{HashOf(UpstreamId("u0")), 3, 1.25}};
-  report.demands = {{ServiceName("reader"), {ShardKey(5), ShardKey(65'535)}}};
+  report.demands = {
+      {ServiceName("reader"), {ShardKey(5), ShardKey(65'535)}, true}};
   report.log_contact_age = milliseconds(120);
   return report;
 }
@@ -55,6 +56,7 @@
     CHECK(report.sender == DaemonId("d0"));
     CHECK(report.upstreams.at(0).in_flight == 3);
     CHECK(report.upstreams.at(0).latency_ratio == Approx(1.25));
+    CHECK(report.demands.at(0).states_load);
     CHECK(report.demands.at(0).keys ==
           std::vector<ShardKey>{ShardKey(5), ShardKey(65'535)});
     CHECK(report.log_contact_age == milliseconds(120));
