--- a/unittests/support/raw_peer.h
+++ b/unittests/support/raw_peer.h
@@ -127,8 +127,16 @@
     return unacknowledged == 0;
   }
 
-  /// Closes the sending direction; the peer reads an orderly close.
-  void CloseSend() { this->socket.shutdownSend(); }
+  /// Closes the sending direction; the peer reads an orderly close. Does
+  /// nothing if the peer has reset the connection, which it may do as soon as
+  /// it has read bytes that it refuses.
+  void CloseSend() {
+    try {
+      this->socket.shutdownSend();
+    } catch (const Poco::Net::NetException& error) {
+      if (error.code() != ENOTCONN) throw;
+    }
+  }
 
   /// Closes the connection with a reset.
   void Reset() {
