upstream, daemon, core: mend what the review of the joined parts found

Cause: engineers who had not written the parts read them. BurstLimit counted requests that had ended, so it bounded the rate of a fast upstream; a suspension left the deadline of an evacuation where it was; a directory that could not be read was read again at once; a request for a key that had moved was not retried for the turns of its former owner; a request with a turn could lose it to a later one when the owners changed; a key hotter than any upstream moved with each change of the estimates; requests of unknown cost counted as a twentieth or as eight; names of unknown services in reports took memory; a stated warm-up or a rate could overflow a time. Change: each of these, and the bounds of learned speeds as they were.

--- a/include/bamboorack/core/evacuations.h
+++ b/include/bamboorack/core/evacuations.h
@@ -51,7 +51,9 @@
   EvacuationChanges Apply(const std::vector<EvacuationRecord>& records,
                           bool is_complete);
   /// Records that all orders acknowledged before `at` are known.
-  void NoteCurrent(MonotonicTime at);
+  void SetKnownUntil(MonotonicTime at);
+  /// The process did not run for `length`, which its clock did not count.
+  void OnSuspended(std::chrono::nanoseconds length);
 
   bool Contains(const FailureDomain& domain) const {
     return this->domains.contains(domain);
@@ -61,7 +63,8 @@
  private:
   const std::chrono::milliseconds bound;
   EvacuatedDomains domains;
-  std::optional<MonotonicTime> current_at;
+  /// Orders acknowledged before this time are known.
+  std::optional<MonotonicTime> known_until;
 };
 
 }  // namespace bamboorack
--- a/include/bamboorack/daemon/gateway_router.h
+++ b/include/bamboorack/daemon/gateway_router.h
@@ -181,6 +181,8 @@
       const PendingRequest& pending, std::chrono::nanoseconds wait) const;
 
   void Retry(PendingRequest& pending, const Refusal& refusal);
+  /// Whether the upstream that a request was sent to owns its key now.
+  bool OwnsKeyOf(const PendingRequest& pending) const;
   bool MayRetry(const PendingRequest& pending, const Refusal& refusal);
   void Finish(PendingRequest& pending, Result result);
   void Refuse(PendingRequest& pending, Reason reason, std::string detail,
--- a/include/bamboorack/daemon/ownership_controller.h
+++ b/include/bamboorack/daemon/ownership_controller.h
@@ -149,6 +149,8 @@
   /// the leader knows it.
   void ReportEvacuations();
   void ForgetEvacuationProgress();
+  /// Passes the evacuated failure domains to the router.
+  void PublishEvacuations();
   /// Whether the upstream warms up for so long that its keys should be served
   /// by others meanwhile.
   bool IsTooColdForKeys(const RegisteredUpstream& entry) const;
--- a/include/bamboorack/upstream/burst_limit.h
+++ b/include/bamboorack/upstream/burst_limit.h
@@ -19,14 +19,17 @@
 class BurstLimit {
  public:
   /// Whether one more request may be sent at `now` to an upstream that has room
-  /// for `free_places` requests by the counts known here, and that `daemons`
-  /// daemons share. Always allows one per interval.
-  bool Allows(double free_places, std::size_t daemons, MonotonicTime now) const;
-  /// Counts a request. The other daemons hear of it by `reported_by`.
-  void OnSent(MonotonicTime now, MonotonicTime reported_by);
+  /// for `free_places` requests by the counts known here, that has `in_flight`
+  /// requests of this daemon, and that `daemon_count` daemons share. Always
+  /// allows one request at a time.
+  bool Allows(double free_places, std::uint32_t in_flight,
+              std::size_t daemon_count, MonotonicTime now) const;
+  /// Counts a request. The other daemons hear of it by `report_due`.
+  void OnSent(MonotonicTime now, MonotonicTime report_due);
 
  private:
-  /// Requests sent since the last one that the other daemons know of.
+  /// Requests sent since the interval began, which the others do not know of.
+  /// An interval begins with the first request after the former one.
   std::uint32_t unreported = 0;
   MonotonicTime interval_end;
 };
--- a/include/bamboorack/upstream/cost_model.h
+++ b/include/bamboorack/upstream/cost_model.h
@@ -97,7 +97,7 @@
   /// `ratio` is the work of an answered request, measured as if the upstream
   /// had ordinary speed, divided by the mean work of such requests.
   void AddAnswer(double ratio);
-  /// `ratio` is the smoothed latency ratio that another daemon reported.
+  /// `ratio` is the mean latency ratio that another daemon reported.
   void AddReport(double ratio);
   double Value() const;
 
--- a/include/bamboorack/upstream/demand_counter.h
+++ b/include/bamboorack/upstream/demand_counter.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "bamboorack/core/ids.h"
@@ -20,18 +21,27 @@
  public:
   explicit DemandCounter(std::uint64_t seed) : random_state(seed | 1U) {}
 
-  /// `cost` is the expected time that such a request takes.
+  /// `cost` is the expected time that such a request takes, if it is known.
   void Add(const ServiceName& service, ShardKey key,
-           std::chrono::nanoseconds cost);
+           std::optional<std::chrono::nanoseconds> cost);
   /// Returns the keys since the last call.
   std::map<ServiceName, std::vector<ShardKey>> Take();
 
  private:
+  /// The mean cost of the requests of one service.
+  struct MeanCost {
+    int count = 0;
+    std::chrono::nanoseconds mean{0};
+
+    /// Returns the ratio of `cost` to the mean.
+    double AddAndCompare(std::chrono::nanoseconds cost);
+  };
+
   /// Returns a number from 0 to less than 1.
   double Draw();
 
   std::uint64_t random_state;
-  std::map<ServiceName, std::chrono::nanoseconds> mean_costs;
+  std::map<ServiceName, MeanCost> mean_costs;
   std::map<ServiceName, std::vector<ShardKey>> keys;
 };
 
--- a/include/bamboorack/upstream/offered_load.h
+++ b/include/bamboorack/upstream/offered_load.h
@@ -28,6 +28,8 @@
   double Smoothed(const ServiceName& service) const;
 
  private:
+  void DropOldReports(MonotonicTime now);
+
   struct Report {
     WorkByService work;
     MonotonicTime at;
--- a/lib/core/evacuations.cc
+++ b/lib/core/evacuations.cc
@@ -17,8 +17,8 @@
 EvacuationChanges Evacuations::Apply(
     const std::vector<EvacuationRecord>& records, bool is_complete) {
   const MonotonicTime deadline =
-      this->current_at
-          ? *this->current_at + this->bound - std::min(kSendTime, this->bound)
+      this->known_until
+          ? *this->known_until + this->bound - std::min(kSendTime, this->bound)
           : MonotonicTime{};
   EvacuatedDomains before = std::exchange(this->domains, {});
   if (!is_complete) this->domains = before;
@@ -41,8 +41,14 @@
   return changes;
 }
 
-void Evacuations::NoteCurrent(MonotonicTime at) {
-  this->current_at = std::max(this->current_at.value_or(at), at);
+void Evacuations::SetKnownUntil(MonotonicTime at) {
+  this->known_until = std::max(this->known_until.value_or(at), at);
+}
+
+void Evacuations::OnSuspended(std::chrono::nanoseconds length) {
+  // Other orders may have been given since.
+  this->known_until.reset();
+  for (auto& [domain, until] : this->domains) until -= length;
 }
 
 }  // namespace bamboorack
--- a/lib/core/upstream_registry.cc
+++ b/lib/core/upstream_registry.cc
@@ -5,15 +5,22 @@
 #include <utility>
 
 namespace bamboorack {
+namespace {
+
+// A longer one is taken as this, so that its end is a valid time.
+constexpr std::chrono::hours kLongestWarmUp{1};
+
+}  // namespace
 
 void SetColdUntil(RegisteredUpstream& entry, const RegisteredUpstream* before,
                   MonotonicTime now) {
   const bool is_same_run = before != nullptr && before->run == entry.run;
   const MonotonicTime known =
       is_same_run ? before->cold_until : MonotonicTime{};
-  const MonotonicTime stated = entry.warm_up_left.count() > 0
-                                   ? now + entry.warm_up_left
-                                   : std::min(known, now);
+  const auto left =
+      std::min<std::chrono::milliseconds>(entry.warm_up_left, kLongestWarmUp);
+  const MonotonicTime stated =
+      left.count() > 0 ? now + left : std::min(known, now);
   const bool is_known = std::chrono::abs(stated - known) < kWarmUpEndTolerance;
   entry.cold_until = is_known ? known : stated;
   entry.warm_up_left = std::chrono::milliseconds(0);
--- a/lib/daemon/gateway_router.cc
+++ b/lib/daemon/gateway_router.cc
@@ -181,8 +181,11 @@
   this->budgets.try_emplace(stored.service, kRetryBudgetRatio)
       .first->second.OnRequest();
   if (stored.is_sharded) {
-    this->key_demand.Add(stored.service, stored.key,
-                         this->AverageLatency(stored.route));
+    const auto known = this->average_latencies.find(stored.route);
+    const bool is_known = known != this->average_latencies.end();
+    this->key_demand.Add(
+        stored.service, stored.key,
+        is_known ? std::optional(known->second) : std::nullopt);
   }
   this->ScheduleRequest(stored, true);
 }
--- a/lib/daemon/gateway_router_endings.cc
+++ b/lib/daemon/gateway_router_endings.cc
@@ -22,6 +22,13 @@
 
 }  // namespace
 
+bool GatewayRouter::OwnsKeyOf(const PendingRequest& pending) const {
+  if (!pending.is_sharded || this->tables.owners == nullptr) return false;
+  const UpstreamRun* owner =
+      this->tables.owners->FindOwner(pending.service, pending.key);
+  return owner != nullptr && owner->id == pending.upstream;
+}
+
 bool GatewayRouter::MayRetry(const PendingRequest& pending,
                              const Refusal& refusal) {
   const bool is_safe =
@@ -30,8 +37,9 @@
   if (refusal.reason == Reason::kCancelled) return false;
   if (refusal.reason == Reason::kStopping) return false;
   const nanoseconds needed = this->AverageLatency(pending.route) / 2;
+  // The next owner of a key that has moved may take the request at once.
   const MonotonicTime start =
-      pending.is_sharded
+      this->OwnsKeyOf(pending)
           ? std::max(
                 this->load_balancer.NextStart(pending.upstream, 0, this->now),
                 this->load_balancer.PausedUntil(pending.upstream))
--- a/lib/daemon/gateway_router_queues.cc
+++ b/lib/daemon/gateway_router_queues.cc
@@ -67,6 +67,11 @@
     if (is_waiting && pending.is_sharded) waiting.push_back(handle);
   }
   std::sort(waiting.begin(), waiting.end());
+  // None must count as ahead of a request that came before it.
+  for (const Handle handle : waiting) {
+    PendingRequest& pending = this->requests.at(handle);
+    if (pending.stage == Stage::kQueued) this->RemoveFromQueue(pending);
+  }
   for (const Handle handle : waiting) {
     PendingRequest& pending = this->requests.at(handle);
     const bool was_unowned = pending.stage == Stage::kUnowned;
--- a/lib/daemon/gateway_router_warm_up.cc
+++ b/lib/daemon/gateway_router_warm_up.cc
@@ -56,6 +56,7 @@
   this->metrics.Count("warm_up_refusals");
   nanoseconds wait = start - this->now;
   const bool has_warm_upstream =
+      this->load_balancer.HasActiveUpstream(key.service) &&
       !this->load_balancer.NextServiceStart(key.service, 0, this->now);
   if (has_warm_upstream)
     wait = std::min<nanoseconds>(wait, kMovedKeysRetryAfter);
--- a/lib/daemon/ownership_controller.cc
+++ b/lib/daemon/ownership_controller.cc
@@ -106,6 +106,11 @@
   this->MarkDepartures(report.departures);
   if (this->leadership.GetRole() != RangeLeadership::Role::kLeader) return;
   for (const peer::KeyDemand& demand : report.demands) {
+    // A name that the desired state lacks must not take memory.
+    const ServiceSpec* service =
+        this->tables.desired ? this->tables.desired->FindService(demand.service)
+                             : nullptr;
+    if (service == nullptr || !service->is_sharded) continue;
     upstream::ServiceKeyLoad& load = this->key_loads[demand.service];
     for (const ShardKey key : demand.keys) load.Add(key, 1);
   }
@@ -193,6 +198,8 @@
     std::chrono::nanoseconds length, MonotonicTime time) {
   this->now = time;
   this->leadership.OnSuspended(time);
+  this->evacuations.OnSuspended(length);
+  this->PublishEvacuations();
   this->LogEvent(
       EventKind::kProcess, "suspended",
       {{"for_ms",
--- a/lib/daemon/ownership_controller_evacuations.cc
+++ b/lib/daemon/ownership_controller_evacuations.cc
@@ -57,12 +57,10 @@
   }
   const EvacuationChanges changes =
       this->evacuations.Apply(records, update.is_complete);
-  this->evacuations.NoteCurrent(
+  this->evacuations.SetKnownUntil(
       update.at - (update.is_relayed ? kMaxRelayAge : kMaxAnswerAge));
   if (changes.IsEmpty()) return;
-  this->tables.evacuated_domains =
-      std::make_shared<const EvacuatedDomains>(this->evacuations.Domains());
-  this->has_new_tables = true;
+  this->PublishEvacuations();
   this->next_plan = this->now;
   this->metrics.SetGauge(
       "evacuated_domains",
@@ -92,6 +90,15 @@
   }
 }
 
+void OwnershipController::PublishEvacuations() {
+  const bool was_empty = !this->tables.evacuated_domains ||
+                         this->tables.evacuated_domains->empty();
+  if (was_empty && this->evacuations.Domains().empty()) return;
+  this->tables.evacuated_domains =
+      std::make_shared<const EvacuatedDomains>(this->evacuations.Domains());
+  this->has_new_tables = true;
+}
+
 void OwnershipController::ReportEvacuations() {
   const bool has_none =
       this->evacuations.Domains().empty() && this->evacuated_ranges.empty();
--- a/lib/daemon/ownership_controller_planning.cc
+++ b/lib/daemon/ownership_controller_planning.cc
@@ -10,8 +10,8 @@
 namespace bamboorack::daemon {
 namespace {
 
-constexpr double kMinSpeed = 0.1;
-constexpr double kMaxSpeed = 10;
+constexpr double kMinSpeed = 0.25;
+constexpr double kMaxSpeed = 2.5;
 
 constexpr std::string_view kOfferedGauge = "range_offered_slots";
 constexpr std::string_view kCapacityGauge = "range_capacity_slots";
--- a/lib/daemon/ownership_controller_store.cc
+++ b/lib/daemon/ownership_controller_store.cc
@@ -122,6 +122,8 @@
 void OwnershipController::OnDaemonsRead(const ReadOutcome& read) {
   if (!read) {
     this->next_directory_call = this->now + kDirectoryRetryInterval;
+    // A directory that is not settled is not read again at once either.
+    this->directory_read_at = this->now;
     return;
   }
   peer::SetPeers set;
--- a/lib/upstream/burst_limit.cc
+++ b/lib/upstream/burst_limit.cc
@@ -12,19 +12,21 @@
 
 }  // namespace
 
-bool BurstLimit::Allows(double free_places, std::size_t daemons,
-                        MonotonicTime now) const {
+bool BurstLimit::Allows(double free_places, std::uint32_t in_flight,
+                        std::size_t daemon_count, MonotonicTime now) const {
   if (now >= this->interval_end) return true;
-  // The own unreported requests already take places.
-  const double places = free_places + this->unreported;
-  const double part = kUnevenness * places / static_cast<double>(daemons);
-  return this->unreported < std::max(1.0, std::ceil(part));
+  // Requests that have ended take no place, so a fast upstream is not held
+  // back.
+  const std::uint32_t unknown = std::min(this->unreported, in_flight);
+  const double part =
+      kUnevenness * (free_places + unknown) / static_cast<double>(daemon_count);
+  return unknown < std::max(1.0, std::ceil(part));
 }
 
-void BurstLimit::OnSent(MonotonicTime now, MonotonicTime reported_by) {
+void BurstLimit::OnSent(MonotonicTime now, MonotonicTime report_due) {
   if (now >= this->interval_end) {
     this->unreported = 0;
-    this->interval_end = reported_by;
+    this->interval_end = report_due;
   }
   ++this->unreported;
 }
--- a/lib/upstream/cost_model.cc
+++ b/lib/upstream/cost_model.cc
@@ -24,7 +24,7 @@
 // Weight of the assumption that an upstream has ordinary speed.
 constexpr double kOrdinaryWeight = 8;
 constexpr double kMaxAnswers = 30;
-// Each report already averages over about a dozen answers of its sender.
+// A report has the geometric mean of one or a few answers of its sender.
 constexpr double kMaxReports = 60;
 
 }  // namespace
--- a/lib/upstream/demand_counter.cc
+++ b/lib/upstream/demand_counter.cc
@@ -14,14 +14,18 @@
 
 }  // namespace
 
+double DemandCounter::MeanCost::AddAndCompare(nanoseconds cost) {
+  this->count = std::min(this->count + 1, kMeanRequests);
+  this->mean += (cost - this->mean) / this->count;
+  if (this->mean.count() <= 0) return 1;
+  return static_cast<double>(cost.count()) /
+         static_cast<double>(this->mean.count());
+}
+
 void DemandCounter::Add(const ServiceName& service, ShardKey key,
-                        nanoseconds cost) {
-  nanoseconds& mean = this->mean_costs.try_emplace(service, cost).first->second;
-  mean += (cost - mean) / kMeanRequests;
-  const double weight = mean.count() <= 0
-                            ? 1
-                            : static_cast<double>(cost.count()) /
-                                  static_cast<double>(mean.count());
+                        std::optional<nanoseconds> cost) {
+  const double weight =
+      cost ? this->mean_costs[service].AddAndCompare(*cost) : 1;
   const auto times = static_cast<std::size_t>(
       std::clamp(weight, 0.0, kMaxWeight) + this->Draw());
   std::vector<ShardKey>& listed = this->keys[service];
--- a/lib/upstream/load_balancer.cc
+++ b/lib/upstream/load_balancer.cc
@@ -332,7 +332,8 @@
   const double limit = this->LimitOf(state, now);
   const std::size_t daemons = this->peers.size() + 1;
   const double free_places = limit - state.TotalInFlight();
-  if (free_places >= 1) return state.burst.Allows(free_places, daemons, now);
+  if (free_places >= 1)
+    return state.burst.Allows(free_places, state.in_flight, daemons, now);
   // At the limit, the daemons without a request there take turns.
   if (state.in_flight > 0) return false;
   const Seconds turn_interval =
--- a/lib/upstream/offered_load.cc
+++ b/lib/upstream/offered_load.cc
@@ -23,13 +23,18 @@
 
 void OfferedLoad::SetReport(const DaemonId& daemon, WorkByService work,
                             MonotonicTime now) {
+  this->DropOldReports(now);
   this->reports[daemon] = {std::move(work), now};
 }
 
-void OfferedLoad::Update(MonotonicTime now) {
+void OfferedLoad::DropOldReports(MonotonicTime now) {
   std::erase_if(this->reports, [now](const auto& item) {
     return now - item.second.at > kMaxReportAge;
   });
+}
+
+void OfferedLoad::Update(MonotonicTime now) {
+  this->DropOldReports(now);
   this->current.clear();
   for (const auto& [daemon, report] : this->reports) {
     for (const auto& [service, work] : report.work) {
--- a/lib/upstream/range_planner.cc
+++ b/lib/upstream/range_planner.cc
@@ -100,6 +100,18 @@
   return std::max(kMinExcessRequests / 2, row.target * kMinPiecePart);
 }
 
+/// Whether the receiver is better off with `piece` than the donor. A single key
+/// that exceeds the receiver's headroom overloads any upstream, so it moves
+/// only for a clear gain; otherwise it would follow each change of the
+/// estimates.
+bool ImprovesBalance(const KeyRange& piece, double weight, double headroom,
+                     const UpstreamLoad& donor, const UpstreamLoad& to) {
+  const bool is_hot_key = piece.first == piece.last && weight > headroom;
+  const double margin = is_hot_key ? kMinCapacityRatio : 1;
+  return (to.received + weight) / to.target * margin <
+         donor.load / donor.target;
+}
+
 class PlanBuilder {
  public:
   /// `recent_load` may be null.
@@ -349,9 +361,7 @@
           this->LastKeyWithin(keys, std::min(excess, headroom), donor);
       const KeyRange piece{keys.first, last};
       const double weight = this->PieceWeight(piece, donor);
-      // A single key that overloads its holder would overload any other
-      // upstream.
-      if ((to.received + weight) / to.target < donor.load / donor.target) {
+      if (ImprovesBalance(piece, weight, headroom, donor, to)) {
         this->AddMove(piece, weight, &donor, to);
       }
       if (last == keys.last) return;
--- a/lib/upstream/warm_up_schedule.cc
+++ b/lib/upstream/warm_up_schedule.cc
@@ -40,6 +40,9 @@
   return std::ldexp(static_cast<double>(hash), -64);
 }
 
+// Far longer than any warm-up, so that a very low rate gives a valid time.
+constexpr Seconds kLongestInterval{3'600};
+
 }  // namespace
 
 WarmUpSchedule::WarmUpSchedule(const DesiredState& desired,
@@ -65,7 +68,8 @@
   const auto rate = this->rates.find(entry.service);
   if (rate == this->rates.end() || !this->place) return std::nullopt;
   const auto count = static_cast<double>(this->place->daemon_count);
-  const Seconds interval(count / rate->second);
+  const Seconds interval =
+      std::min(Seconds(count / rate->second), kLongestInterval);
   const double cycles =
       static_cast<double>(this->place->rank) / count + RotationOf(entry.run);
   const Seconds last_offset = interval * (cycles - std::floor(cycles));
--- a/unittests/core/evacuations_test.cc
+++ b/unittests/core/evacuations_test.cc
@@ -51,23 +51,38 @@
 
   SECTION("an order that stood before the process started has no time left") {
     evacuations.Apply({{kWest}}, true);
-    evacuations.NoteCurrent(start);
+    evacuations.SetKnownUntil(start);
     CHECK(evacuations.Domains().at(kWest) < start);
   }
+  SECTION("an order that is read after a suspension has no time left") {
+    evacuations.Apply({}, true);
+    evacuations.SetKnownUntil(start);
+    evacuations.OnSuspended(seconds(10));
+    evacuations.Apply({{kWest}}, false);
+    CHECK(evacuations.Domains().at(kWest) < start);
+  }
+  SECTION("a suspension uses up the time of a known order") {
+    evacuations.Apply({}, true);
+    evacuations.SetKnownUntil(start);
+    evacuations.Apply({{kWest}}, false);
+    const MonotonicTime before = evacuations.Domains().at(kWest);
+    evacuations.OnSuspended(seconds(3));
+    CHECK(evacuations.Domains().at(kWest) == before - seconds(3));
+  }
   SECTION("a new order counts from the last time without it") {
     evacuations.Apply({}, true);
-    evacuations.NoteCurrent(start);
+    evacuations.SetKnownUntil(start);
     evacuations.Apply({{kWest}}, false);
     const MonotonicTime deadline = evacuations.Domains().at(kWest);
     CHECK(deadline > start + bound / 2);
     CHECK(deadline <= start + bound - milliseconds(500));
     SECTION("and keeps its deadline when it is read again") {
-      evacuations.NoteCurrent(start + seconds(60));
+      evacuations.SetKnownUntil(start + seconds(60));
       evacuations.Apply({{kWest}}, true);
       CHECK(evacuations.Domains().at(kWest) == deadline);
     }
     SECTION("and gets a new one when it is taken back and given again") {
-      evacuations.NoteCurrent(start + seconds(60));
+      evacuations.SetKnownUntil(start + seconds(60));
       evacuations.Apply({{kWest, true}}, false);
       evacuations.Apply({{kWest}}, false);
       CHECK(evacuations.Domains().at(kWest) == deadline + seconds(60));
@@ -75,7 +90,7 @@
   }
   SECTION("a bound shorter than the time to send leaves none") {
     Evacuations strict(milliseconds(300));
-    strict.NoteCurrent(start);
+    strict.SetKnownUntil(start);
     strict.Apply({{kWest}}, false);
     CHECK(strict.Domains().at(kWest) == start);
   }
--- a/unittests/upstream/burst_limit_test.cc
+++ b/unittests/upstream/burst_limit_test.cc
@@ -102,16 +102,24 @@
     BurstLimit limit;
     MonotonicTime now{std::chrono::seconds(100)};
     THEN("a daemon may always send one request in each interval") {
-      for (int i = 0; i < 5; ++i) {
-        CHECK(limit.Allows(8, 33, now));
+      for (std::uint32_t i = 0; i < 5; ++i) {
+        CHECK(limit.Allows(8, i, 33, now));
         limit.OnSent(now, now + kReportInterval);
-        CHECK_FALSE(limit.Allows(7, 33, now));
+        CHECK_FALSE(limit.Allows(7, i + 1, 33, now));
         now += kReportInterval;
       }
     }
+    THEN("it may send the next one as soon as the last one has ended") {
+      for (int i = 0; i < 50; ++i) {
+        CHECK(limit.Allows(8, 0, 33, now));
+        limit.OnSent(now, now + kReportInterval);
+        CHECK_FALSE(limit.Allows(7, 1, 33, now));
+        now += milliseconds(1);
+      }
+    }
     THEN("with many free places it may send its part of them at once") {
-      int sent = 0;
-      while (limit.Allows(100 - sent, 33, now)) {
+      std::uint32_t sent = 0;
+      while (limit.Allows(100 - sent, sent, 33, now)) {
         limit.OnSent(now, now + kReportInterval);
         ++sent;
       }
--- a/unittests/upstream/demand_counter_test.cc
+++ b/unittests/upstream/demand_counter_test.cc
@@ -21,6 +21,15 @@
       CHECK(counter.Take().empty());
     }
   }
+  GIVEN("requests whose cost is not known yet, then some of 1 s") {
+    for (int i = 0; i < 5; ++i) counter.Add(service, ShardKey(1), {});
+    for (int i = 0; i < 5; ++i) {
+      counter.Add(service, ShardKey(2), milliseconds(1'000));
+    }
+    THEN("each is listed once") {
+      CHECK(counter.Take().at(service).size() == 10);
+    }
+  }
   GIVEN("as many requests for one key that cost 300 ms as for one of 100 ms") {
     constexpr int kRequests = 5'000;
     for (int i = 0; i < kRequests; ++i) {
