upstream: do not use a distribution that a new route has moved

Cause: the address sanitizer found a use after free in request_placement_test: MakeContext kept a reference to a service's distribution while it looked up a route, which may add one and move all of them. Change: both are looked up before either is used.

--- a/lib/upstream/request_placement.cc
+++ b/lib/upstream/request_placement.cc
@@ -31,11 +31,13 @@
 WorkContext RequestPlacement::MakeContext(const ServiceName& service,
                                           const RouteName& route,
                                           MonotonicTime now) {
-  const WorkDistribution& all =
-      this->costs.At(this->costs.FindService(service));
+  // A new route may move the distributions, so both are found before either is
+  // used.
+  const CostModel::Index service_index = this->costs.FindService(service);
+  const CostModel::Index route_index = this->costs.Find(service, route);
+  const WorkDistribution& all = this->costs.At(service_index);
   // Before the first answers on a route, its requests count as average ones.
-  const WorkDistribution& own =
-      this->costs.At(this->costs.Find(service, route));
+  const WorkDistribution& own = this->costs.At(route_index);
   return {own.Count() == 0 ? all.Mean() : own.Mean(), all.Mean(),
           all.MeanRestOfRunning(), this->services[service].slowdown, now};
 }
