--- a/review/harness-3/site.cc
+++ b/review/harness-3/site.cc
@@ -142,6 +142,8 @@
                                   arguments, environment);
   posix_spawn_file_actions_destroy(&actions);
   if (error != 0) throw std::runtime_error("cannot start the gateway");
+  // The script ends what is left if this process dies.
+  std::ofstream(this->directory + "/pids", std::ios::app) << gateway.pid << '\n';
 }
 
 void Site::RestartGateway(std::size_t gateway) {
