--- a/review/harness-3/backend.cc
+++ b/review/harness-3/backend.cc
@@ -13,14 +13,13 @@
 constexpr std::size_t kKeys = 65'536;
 // `heartbeat` of the settings.
 constexpr milliseconds kHeartbeat{870};
-constexpr milliseconds kWork{5};
 constexpr int kSlots = 6;
 constexpr int kQueued = 12;
 
 milliseconds ParseTime(const std::string& text) {
   const double number = std::stod(text);
-  return milliseconds(static_cast<long long>(
-      text.ends_with("ms") ? number : number * 1'000));
+  return milliseconds(
+      static_cast<long long>(text.ends_with("ms") ? number : number * 1'000));
 }
 
 Poco::JSON::Object::Ptr ParseJson(const std::string& text) {
@@ -71,30 +70,47 @@
   this->server.reset();
 }
 
+bool Backend::Register() {
+  std::ostringstream entry;
+  entry << R"({"address":"127.0.0.1:)" << this->server->port() << R"(","born":)"
+        << this->born << R"(,"info":{"service":")" << this->plan.service
+        << R"(","version":"v1","zone":")" << this->plan.zone << R"(","slots":)"
+        << kSlots << R"(},"status":{"state":")"
+        << (this->is_leaving ? "draining" : "ready") << R"(","seq":)"
+        << ++this->seq << R"(,"warmup_left":"0ms"}})";
+  return this->store.Write("keyed.servers", this->plan.id, entry.str());
+}
+
 void Backend::Beat(const std::stop_token& stop) {
-  std::uint64_t seq = 0;
   std::uint64_t era = 0;
   Time next = Clock::now();
-  while (!stop.stop_requested()) {
+  while (!stop.stop_requested() && !this->has_ended) {
     // What the backends wrote is written again when the store is back.
-    const bool is_due = Clock::now() >= next || this->store.Era() != era;
-    if (is_due) {
+    const bool is_back = this->plan.writes_at_once && this->store.Era() != era;
+    if (Clock::now() >= next || is_back) {
       era = this->store.Era();
-      std::ostringstream entry;
-      entry << R"({"address":"127.0.0.1:)" << this->server->port()
-            << R"(","born":)" << this->born << R"(,"info":{"service":")"
-            << this->plan.service << R"(","version":"v1","zone":")"
-            << this->plan.zone << R"(","slots":)" << kSlots
-            << R"(},"status":{"state":"ready","seq":)" << ++seq
-            << R"(,"warmup_left":"0ms"}})";
-      if (this->store.Write("keyed.servers", this->plan.id, entry.str())) {
+      this->last_beat = Clock::now();
+      if (this->Register() || !this->plan.writes_at_once) {
         next = Clock::now() + kHeartbeat;
       }
     }
-    std::this_thread::sleep_for(milliseconds(20));
+    std::this_thread::sleep_for(milliseconds(5));
   }
 }
 
+Time Backend::Leave() {
+  this->is_leaving = true;
+  this->Register();
+  const Time accepted = Clock::now();
+  this->journal.Line("backend " + this->plan.id + " reports draining");
+  return accepted;
+}
+
+void Backend::End() {
+  this->journal.Line("backend " + this->plan.id + " ends");
+  this->has_ended = true;
+}
+
 bool Backend::HoldsLocked(std::uint32_t key, Time now) const {
   return now < this->held_until[key];
 }
@@ -102,6 +118,8 @@
 void Backend::Handle(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) {
   const Time arrived = Clock::now();
+  if (this->has_ended) return CloseWithoutAnswer(request);
+  if (this->is_leaving) response.set("Server-Leaving", "1");
   const std::string expected = request.get("X-Expect-Instance", "");
   if (!expected.empty() && expected != this->plan.id) {
     BodyOf(request);
@@ -180,9 +198,8 @@
     }
     std::this_thread::sleep_for(milliseconds(1));
   }
-  this->journal.Line("release backend=" + this->plan.id +
-                     " keys=" + std::to_string(first) + "-" +
-                     std::to_string(last));
+  this->journal.Line("release backend=" + this->plan.id + " keys=" +
+                     std::to_string(first) + "-" + std::to_string(last));
 }
 
 void Backend::RunRequest(Poco::Net::HTTPServerRequest& request,
@@ -200,12 +217,11 @@
   bool is_refused = false;
   {
     const std::lock_guard lock(this->fleet.mutex);
-    is_refused =
-        this->plan.is_sharded && !this->HoldsLocked(key, Clock::now());
+    is_refused = this->plan.is_sharded && !this->HoldsLocked(key, Clock::now());
     if (!is_refused) {
       ++this->running[key];
-      this->fleet.runs.push_back(
-          {Clock::now(), id, request.getURI(), this->plan.service});
+      this->fleet.runs.push_back({Clock::now(), id, request.getURI(),
+                                  this->plan.service, this->plan.id});
     }
   }
   if (is_refused) {
@@ -216,12 +232,13 @@
   this->journal.Line("run backend=" + this->plan.id + " request=" + id +
                      " path=" + request.getURI() +
                      " key=" + std::to_string(key));
-  std::this_thread::sleep_for(kWork);
+  std::this_thread::sleep_for(this->plan.work);
   {
     const std::lock_guard lock(this->fleet.mutex);
     --this->running[key];
   }
   --this->busy;
+  if (this->has_ended) return CloseWithoutAnswer(request);
   response.set("X-Server-Stamp", this->plan.id + "." + id);
   Answer(response, 200, "ran " + id);
 }
--- a/review/harness-3/backend.h
+++ b/review/harness-3/backend.h
@@ -37,6 +37,11 @@
   std::string service;
   std::string zone;
   bool is_sharded = false;
+  /// How long a request takes.
+  milliseconds work{5};
+  /// Whether it writes again as soon as the store is back, or at its next
+  /// heartbeat.
+  bool writes_at_once = true;
 };
 
 /// One request that a backend ran.
@@ -45,6 +50,7 @@
   std::string request;
   std::string path;
   std::string service;
+  std::string backend;
 };
 
 class Backend;
@@ -69,6 +75,13 @@
   void Start();
   void Stop();
   const BackendPlan& Plan() const { return this->plan; }
+  /// Reports that it leaves, in its entry and in all its answers. Returns when
+  /// the store has accepted that.
+  Time Leave();
+  /// Ends at once, as a process does: requests at work get no answer.
+  void End();
+  /// When it last tried to write its entry.
+  Time LastBeat() const { return this->last_beat.load(); }
   /// Call with the mutex of the fleet held.
   bool HoldsLocked(std::uint32_t key, Time now) const;
   std::uint64_t EpochLocked(std::uint32_t key) const {
@@ -80,6 +93,7 @@
 
  private:
   void Beat(const std::stop_token& stop);
+  bool Register();
   int Grant(const std::string& body, Time arrived);
   void Release(const std::string& body);
   void RunRequest(Poco::Net::HTTPServerRequest& request,
@@ -95,6 +109,10 @@
   std::vector<std::uint16_t> running;
   std::atomic<std::uint64_t> handovers{0};
   std::atomic<int> busy{0};
+  std::atomic<bool> is_leaving{false};
+  std::atomic<bool> has_ended{false};
+  std::atomic<std::uint64_t> seq{0};
+  std::atomic<Time> last_beat{Time()};
   std::unique_ptr<Poco::Net::HTTPServer> server;
   std::jthread beats;
 };
--- a/review/harness-3/drill.cc
+++ b/review/harness-3/drill.cc
@@ -9,15 +9,15 @@
 
 #include "site.h"
 
-// The two drills of the platform's store: `drill owner RECORD FOLDER` and
-// `drill config RECORD FOLDER`. Exit code 1 if the rule was broken, 0 if it
-// held, 2 if the case could not run. With TROUBLE=0 the store stays as it is.
+// Drills of the platform's store: `drill SCENARIO RECORD FOLDER`, where the
+// scenario is owner, epoch, config or leaving. Exit code 1 if the rule was
+// broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 the store
+// stays as it is.
 
 namespace {
 
 using namespace review;
 
-constexpr std::size_t kGateways = 3;
 constexpr milliseconds kReadyLimit{15'000};
 
 bool HasTrouble() {
@@ -25,10 +25,12 @@
   return trouble == nullptr || std::string(trouble) != "0";
 }
 
-std::string Route(const std::string& name, const std::string& service) {
+std::string Route(const std::string& name, const std::string& service,
+                  const std::string& kind = "safe") {
   return R"({"name":")" + name +
          R"(","host":"review.example","path_prefix":"/)" + name +
-         R"(/","kind":"safe","timeout":"1500ms","latency_target":"300ms",)"
+         R"(/","kind":")" + kind +
+         R"(","timeout":"1500ms","latency_target":"300ms",)"
          R"("priority":1,"service":")" +
          service + R"(","max_attempts":2})";
 }
@@ -67,9 +69,9 @@
   store.ComeBackFromCopy(copied);
   site.GetJournal().Line(
       "store is back from a copy of " +
-      std::to_string(std::chrono::duration_cast<milliseconds>(Clock::now() -
-                                                              copied)
-                         .count()) +
+      std::to_string(
+          std::chrono::duration_cast<milliseconds>(Clock::now() - copied)
+              .count()) +
       " ms ago, Store-Era=" + std::to_string(store.Era()));
 }
 
@@ -77,8 +79,8 @@
 class HoldWatch {
  public:
   explicit HoldWatch(Site& watched) : site(watched) {
-    this->thread = std::jthread(
-        [this](const std::stop_token& stop) { this->Run(stop); });
+    this->thread =
+        std::jthread([this](const std::stop_token& stop) { this->Run(stop); });
   }
 
   void Stop() {
@@ -149,10 +151,10 @@
 }
 
 void StartAll(Site& site, const std::vector<BackendPlan>& backends,
-              const std::string& state) {
+              const std::string& state, std::size_t gateways = 3) {
   site.GetStore().Write("keyed.op", "config", state);
   for (const BackendPlan& plan : backends) site.StartBackend(plan);
-  for (std::size_t i = 0; i < kGateways; ++i) site.StartGateway();
+  for (std::size_t i = 0; i < gateways; ++i) site.StartGateway();
 }
 
 /// A planned restart of the leader, then new backends, then the drill from a
@@ -179,9 +181,8 @@
   for (int i = 6; i < 9; ++i) {
     site.StartBackend({"r" + std::to_string(i), "reader", "east", true});
   }
-  const bool has_ended = AwaitThat(milliseconds(6'000), [&site, &leader] {
-    return site.HasEnded(*leader);
-  });
+  const bool has_ended = AwaitThat(
+      milliseconds(6'000), [&site, &leader] { return site.HasEnded(*leader); });
   if (!has_ended) return CannotRun(site, "the gateway did not end");
   SleepFor(milliseconds(300));
   site.GetJournal().Line("front-" + std::to_string(*leader) + " starts again");
@@ -206,6 +207,51 @@
                      std::to_string(stale.size()));
 }
 
+/// The leader of two gateways is removed for good by a planned stop, and new
+/// backends are added; then the drill from a copy made before both.
+int RunEpoch(Site& site) {
+  std::vector<BackendPlan> backends;
+  for (int i = 0; i < 6; ++i) {
+    backends.push_back({"r" + std::to_string(i), "reader", "east", true});
+  }
+  StartAll(site, backends, State(1, {Route("read", "reader")}, {"reader"}), 2);
+  if (!site.AwaitReady(kReadyLimit)) return CannotRun(site, "not ready");
+  SleepFor(milliseconds(3'000));
+  const auto leader = site.Leader();
+  if (!leader) return CannotRun(site, "no leader");
+  const std::size_t other = 1 - *leader;
+  site.StartClients({"/read/x", "/read/y"}, milliseconds(15), {other});
+  SleepFor(milliseconds(3'000));
+
+  const Time copied = Clock::now();
+  SleepFor(milliseconds(200));
+  site.GetJournal().Line("SIGTERM to front-" + std::to_string(*leader) +
+                         ", which leads and is removed for good");
+  site.Signal(*leader, SIGTERM);
+  SleepFor(milliseconds(800));
+  for (int i = 6; i < 9; ++i) {
+    site.StartBackend({"r" + std::to_string(i), "reader", "east", true});
+  }
+  const bool has_ended = AwaitThat(
+      milliseconds(6'000), [&site, &leader] { return site.HasEnded(*leader); });
+  if (!has_ended) return CannotRun(site, "the gateway did not end");
+  site.GetJournal().Line("front-" + std::to_string(*leader) + " has ended");
+  std::this_thread::sleep_until(copied + milliseconds(5'500));
+  Drill(site, copied, milliseconds(500));
+  SleepFor(milliseconds(10'000));
+  site.StopClients();
+
+  const std::lock_guard lock(site.GetFleet().mutex);
+  const auto& stale = site.GetFleet().stale_epochs;
+  for (const std::string& grant : stale) {
+    site.GetJournal().Line("epoch not above all others: " + grant);
+  }
+  return Verdict(site, !stale.empty(),
+                 "grants taken with an epoch that is not above all with which "
+                 "other backends had the keys: " +
+                     std::to_string(stale.size()));
+}
+
 /// Three desired states, then the drill from a copy made before the last two,
 /// then, when the store has been stable for long, a further one.
 int RunConfig(Site& site) {
@@ -244,9 +290,10 @@
   SleepFor(milliseconds(6'000));
   store.Write("keyed.op", "config", state(4, "new-desk"));
   const Time acknowledged = Clock::now();
-  site.GetJournal().Line("operator: version 4 moves /move/ to new-desk, "
-                         "acknowledged, end of the log " +
-                         std::to_string(store.End("keyed.op")));
+  site.GetJournal().Line(
+      "operator: version 4 moves /move/ to new-desk, "
+      "acknowledged, end of the log " +
+      std::to_string(store.End("keyed.op")));
   SleepFor(milliseconds(12'000));
   site.StopClients();
   SleepFor(milliseconds(500));
@@ -262,8 +309,8 @@
   std::map<std::size_t, std::size_t> late;
   std::size_t all = 0;
   for (const Answered& answer : site.Answers()) {
-    const bool counts = answer.path == "/move/x" &&
-                        answer.sent > acknowledged + kApply;
+    const bool counts =
+        answer.path == "/move/x" && answer.sent > acknowledged + kApply;
     if (!counts) continue;
     ++all;
     if (service_of[answer.request] == "old-desk") ++late[answer.gateway];
@@ -275,19 +322,76 @@
     text << "; front-" << gateway << ": " << count;
   }
   if (all == 0) return CannotRun(site, "no request was sent");
-  return Verdict(site, sum > 0,
-                 "of " + std::to_string(all) +
-                     " requests sent more than 2 s after the acknowledgement, " +
-                     std::to_string(sum) +
-                     " were run by the service of the older version" +
-                     text.str());
+  return Verdict(
+      site, sum > 0,
+      "of " + std::to_string(all) +
+          " requests sent more than 2 s after the acknowledgement, " +
+          std::to_string(sum) +
+          " were run by the service of the older version" + text.str());
+}
+
+/// A backend leaves, and all gateways know it; then the drill from a copy made
+/// before that, and requests to its service from then on.
+int RunLeaving(Site& site) {
+  constexpr milliseconds kDrain{2'000};
+  const auto plan = [](const std::string& id) {
+    return BackendPlan{id, "desk", "east", false, milliseconds(140), false};
+  };
+  Store& store = site.GetStore();
+  store.Write("keyed.op", "config",
+              State(1, {Route("order", "desk", "unsafe")}, {"desk"}));
+  Backend& leaving = site.StartBackend(plan("d0"));
+  for (int i = 1; i < 4; ++i) {
+    site.StartBackend(plan("d" + std::to_string(i)));
+  }
+  for (int i = 0; i < 3; ++i) site.StartGateway();
+  if (!site.AwaitReady(kReadyLimit)) return CannotRun(site, "not ready");
+  SleepFor(milliseconds(3'000));
+
+  const Time copied = Clock::now();
+  SleepFor(milliseconds(300));
+  const Time accepted = leaving.Leave();
+  // `drain` has passed, and the gateways have read it several times.
+  SleepFor(milliseconds(2'500));
+  // A heartbeat falls into the time without the store; the next one comes when
+  // the store is back for 0.8 s.
+  const Time beat = leaving.LastBeat();
+  AwaitThat(milliseconds(1'000),
+            [&leaving, beat] { return leaving.LastBeat() != beat; });
+  std::this_thread::sleep_until(leaving.LastBeat() + milliseconds(470));
+  Drill(site, copied, milliseconds(500));
+  site.StartClients(std::vector<std::string>(8, "/order/x"), milliseconds(160),
+                    {}, "POST");
+  // It serves for `drain` and "a little longer".
+  std::this_thread::sleep_until(accepted + kDrain + milliseconds(2'000));
+  leaving.End();
+  SleepFor(milliseconds(3'000));
+  site.StopClients();
+
+  std::map<std::string, int> status_of;
+  for (const Answered& answer : site.Answers()) {
+    status_of[answer.request] = answer.status;
+  }
+  std::size_t late = 0;
+  std::size_t lost = 0;
+  const std::lock_guard lock(site.GetFleet().mutex);
+  for (const Run& run : site.GetFleet().runs) {
+    if (run.backend != "d0" || run.at < accepted + kDrain) continue;
+    ++late;
+    if (status_of[run.request] != 200) ++lost;
+  }
+  return Verdict(site, late > 0,
+                 "requests that reached the leaving backend later than 2 s "
+                 "after its report was accepted: " +
+                     std::to_string(late) +
+                     "; of these without an answer: " + std::to_string(lost));
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
   if (argc != 4) {
-    std::cerr << "usage: drill owner|config RECORD FOLDER\n";
+    std::cerr << "usage: drill owner|config|epoch|leaving RECORD FOLDER\n";
     return 2;
   }
   signal(SIGPIPE, SIG_IGN);
@@ -296,6 +400,8 @@
     Site site(argv[2], argv[3]);
     if (name == "owner") return RunOwner(site);
     if (name == "config") return RunConfig(site);
+    if (name == "epoch") return RunEpoch(site);
+    if (name == "leaving") return RunLeaving(site);
   } catch (const std::exception& error) {
     std::cerr << error.what() << '\n';
   }
--- a/review/harness-3/site.cc
+++ b/review/harness-3/site.cc
@@ -90,7 +90,7 @@
   return this->next_port++;
 }
 
-void Site::StartBackend(const BackendPlan& plan) {
+Backend& Site::StartBackend(const BackendPlan& plan) {
   auto backend =
       std::make_unique<Backend>(plan, this->store, this->fleet, this->journal);
   Backend* const started = backend.get();
@@ -99,6 +99,7 @@
     this->fleet.backends.push_back(std::move(backend));
   }
   started->Start();
+  return *started;
 }
 
 void Site::StartGateway() {
@@ -143,7 +144,8 @@
   posix_spawn_file_actions_destroy(&actions);
   if (error != 0) throw std::runtime_error("cannot start the gateway");
   // The script ends what is left if this process dies.
-  std::ofstream(this->directory + "/pids", std::ios::app) << gateway.pid << '\n';
+  std::ofstream(this->directory + "/pids", std::ios::app)
+      << gateway.pid << '\n';
 }
 
 void Site::RestartGateway(std::size_t gateway) {
@@ -193,7 +195,8 @@
   });
 }
 
-int Site::Send(std::size_t gateway, const std::string& path) {
+int Site::Send(std::size_t gateway, const std::string& path,
+               const std::string& method) {
   static thread_local std::mt19937 random(std::random_device{}());
   Answered answered;
   answered.gateway = gateway;
@@ -203,7 +206,8 @@
   Poco::Net::HTTPClientSession session("127.0.0.1",
                                        this->gateways.at(gateway).caller_port);
   session.setTimeout(Poco::Timespan(2, 0));
-  Poco::Net::HTTPRequest request("GET", path, "HTTP/1.1");
+  Poco::Net::HTTPRequest request(method, path, "HTTP/1.1");
+  if (method != "GET") request.setContentLength(0);
   request.set("Host", "review.example");
   request.set("X-Request-Id", answered.request);
   request.set("X-Deadline-Ms", std::to_string(kTimeLimit.count()));
@@ -227,14 +231,20 @@
 }
 
 void Site::StartClients(const std::vector<std::string>& paths,
-                        milliseconds interval) {
-  for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+                        milliseconds interval,
+                        const std::vector<std::size_t>& to,
+                        const std::string& method) {
+  std::vector<std::size_t> all;
+  for (std::size_t i = 0; to.empty() && i < this->gateways.size(); ++i) {
+    all.push_back(i);
+  }
+  for (const std::size_t i : to.empty() ? all : to) {
     for (const std::string& path : paths) {
       this->clients.emplace_back(
-          [this, i, path, interval](const std::stop_token& stop) {
+          [this, i, path, interval, method](const std::stop_token& stop) {
             while (!stop.stop_requested()) {
               const Time next = Clock::now() + interval;
-              this->Send(i, path);
+              this->Send(i, path, method);
               std::this_thread::sleep_until(next);
             }
           });
--- a/review/harness-3/site.h
+++ b/review/harness-3/site.h
@@ -36,7 +36,7 @@
   Fleet& GetFleet() { return this->fleet; }
   Journal& GetJournal() { return this->journal; }
 
-  void StartBackend(const BackendPlan& plan);
+  Backend& StartBackend(const BackendPlan& plan);
   void StartGateway();
   /// Restarts a gateway that has ended.
   void RestartGateway(std::size_t gateway);
@@ -49,10 +49,14 @@
   bool AwaitReady(milliseconds limit);
 
   /// Sends a request with a random key to `path` and returns the status.
-  int Send(std::size_t gateway, const std::string& path);
-  /// Sends requests to each gateway in turn until `StopClients`.
+  int Send(std::size_t gateway, const std::string& path,
+           const std::string& method);
+  /// Sends requests to the gateways `to`, or to all if it is empty, until
+  /// `StopClients`.
   void StartClients(const std::vector<std::string>& paths,
-                    milliseconds interval);
+                    milliseconds interval,
+                    const std::vector<std::size_t>& to = {},
+                    const std::string& method = "GET");
   void StopClients();
   std::vector<Answered> Answers();
 
